Scaffold: build, checks, event and effect types, top reducer

Cause: nothing existed; every later part builds on one set of types. Ruled out: a state copied per event (moves of five maps a time on the hot path); the state is changed in place and everything else stays out of reach of a reducer.

--- /dev/null
+++ b/include/jacinthvale/requests.h
@@ -0,0 +1,19 @@
+/// Requests of callers: routing, limits, retries, claims, tickets and streamed answers.
+#pragma once
+
+#include <jacinthvale/effect.h>
+#include <jacinthvale/event.h>
+#include <jacinthvale/identity.h>
+
+namespace jacinthvale {
+
+/// State of the requests domain.
+struct requests_state
+{
+    process_identity self;
+};
+
+/// Handles one event of the requests domain.
+effects reduceRequests(requests_state &state, const event &what, const context &at);
+
+} // namespace jacinthvale
--- /dev/null
+++ b/tests/standins/standin_names.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
