--- a/include/jacinthvale/config.h
+++ b/include/jacinthvale/config.h
@@ -87,4 +87,7 @@
 /// Handles one event of the configuration domain.
 effects reduceConfig(config_state &state, const event &what, const context &at);
 
+/// @returns the domain's part of GET /v1/status, as one JSON object.
+std::string describeConfig(const config_state &state, const context &at);
+
 } // namespace jacinthvale
--- /dev/null
+++ b/include/jacinthvale/http_client.h
@@ -0,0 +1,58 @@
+/// HTTP client on evhttp: pooled connections, and the truth about whether a byte of a request was sent.
+#pragma once
+
+#include <jacinthvale/effect.h>
+#include <jacinthvale/event.h>
+
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace jacinthvale {
+
+/// Receives what becomes of one call. onFinished comes exactly once, unless the call is cancelled.
+struct http_call_listener
+{
+    /// Only for streamed calls.
+    std::function<void(int status, http_headers headers)> onHead;
+    std::function<void(std::string bytes)> onChunk;
+    std::function<void(http_call_finished)> onFinished;
+};
+
+/// Bounds of the connection pool and of answers.
+struct http_client_limits
+{
+    std::size_t maxIdlePerTarget = 64;
+    /// Idle connections older than this are closed: a server may be about to close them.
+    milliseconds maxIdleAge{4000};
+    std::size_t maxBodyBytes = 64 * 1024 * 1024;
+};
+
+/// Handle of a running call.
+using http_call_handle = number_id<struct http_call_tag>;
+
+/// Makes calls. A request is never sent twice: a failed call is reported, not repeated.
+class http_client
+{
+public:
+    /// @remarks base must outlive the client.
+    explicit http_client(event_base *base, http_client_limits limits = {});
+    ~http_client();
+    http_client(const http_client &) = delete;
+    http_client &operator=(const http_client &) = delete;
+
+    /// Starts a call; the operation in it is copied to the events. Must not be called from a listener.
+    http_call_handle start(const call_http &call, http_call_listener listener);
+
+    /// Ends a call without further events. Must not be called from a listener.
+    void cancel(http_call_handle handle);
+
+    std::size_t runningCalls() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+} // namespace jacinthvale
--- /dev/null
+++ b/include/jacinthvale/http_server.h
@@ -0,0 +1,61 @@
+/// HTTP server on evhttp: turns callers' requests into exchanges that are answered later.
+#pragma once
+
+#include <jacinthvale/effect.h>
+#include <jacinthvale/event.h>
+
+#include <absl/status/status.h>
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace jacinthvale {
+
+/// Bounds of what one caller may send or leave unread.
+struct http_server_limits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    /// Unread bytes of a streamed answer after which its reader is given up.
+    std::size_t maxUnreadBytes = 4 * 1024 * 1024;
+};
+
+/// Receives what callers do. Called on the event loop's thread.
+struct http_server_listener
+{
+    std::function<void(http_request_received)> onRequest;
+    std::function<void(http_exchange_abandoned)> onAbandoned;
+};
+
+/// One listening socket. Answers to exchanges that are gone are dropped.
+class http_server
+{
+public:
+    /// @remarks base must outlive the server.
+    http_server(event_base *base, http_server_limits limits, http_server_listener listener);
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    /// Starts to listen. Port 0 lets the system choose; port() tells which.
+    absl::Status listen(const endpoint &where);
+    std::uint16_t port() const;
+
+    void reply(const reply_http &answer);
+    void begin(const begin_reply &answer);
+    void chunk(const reply_chunk &answer);
+    void end(const end_reply &answer);
+
+    /// @returns the number of exchanges without a whole answer.
+    std::size_t openExchanges() const;
+
+    /// @returns true while bytes of answers are still on their way to callers.
+    bool hasUnsentBytes() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+} // namespace jacinthvale
--- a/include/jacinthvale/notice.h
+++ b/include/jacinthvale/notice.h
@@ -26,14 +26,23 @@
 enum class upstream_condition : std::uint8_t {
     /// Takes work.
     serving,
-    /// Its weight version is not known: no new samples.
-    unclear,
     /// Takes no new work; sticky for the upstream's incarnation.
     leaving,
     /// Suspected or confirmed dead.
     down,
 };
 
+/// Weights of one model at one engine, by the engine's own report.
+struct model_weights
+{
+    model_id model;
+    weight_version version;
+    /// False after a failed or unanswered swap: the version is not known, so no new samples.
+    bool clear = true;
+
+    auto operator<=>(const model_weights &) const = default;
+};
+
 /// Everything known of one upstream, from the platform's list, its own reports and operators.
 struct upstream_view
 {
@@ -45,8 +54,8 @@
     availability_zone_id availabilityZone;
     incarnation_id incarnation;
     upstream_condition condition = upstream_condition::serving;
-    /// Weights it reports; 0 where it has none or is unclear.
-    weight_version weights;
+    /// Weights it reports, one entry a model.
+    std::vector<model_weights> models;
     /// Reported load; reportedAt is when this process learned it.
     int running = 0;
     int queued = 0;
@@ -97,6 +106,13 @@
     std::string reason;
 };
 
+/// A trainer published weights; engines are to load them.
+struct weights_published
+{
+    model_id model;
+    weight_version version;
+};
+
 /// A process that stops gracefully takes no new work from now on.
 struct stopping
 {};
@@ -107,7 +123,7 @@
     domain which = domain::requests;
 };
 
-using notice = std::variant<config_in_force, upstream_changed, peer_changed, drain_requested, stopping,
-                            domain_drained>;
+using notice = std::variant<config_in_force, upstream_changed, peer_changed, drain_requested,
+                            weights_published, stopping, domain_drained>;
 
 } // namespace jacinthvale
--- a/include/jacinthvale/samples.h
+++ b/include/jacinthvale/samples.h
@@ -5,6 +5,8 @@
 #include <jacinthvale/event.h>
 #include <jacinthvale/identity.h>
 
+#include <string>
+
 namespace jacinthvale {
 
 /// State of the samples domain.
@@ -16,4 +18,7 @@
 /// Handles one event of the samples domain.
 effects reduceSamples(samples_state &state, const event &what, const context &at);
 
+/// @returns the domain's part of GET /v1/status, as one JSON object.
+std::string describeSamples(const samples_state &state, const context &at);
+
 } // namespace jacinthvale
--- a/include/jacinthvale/types.h
+++ b/include/jacinthvale/types.h
@@ -34,6 +34,7 @@
 using host_id = text_id<struct host_tag>;
 using upstream_id = text_id<struct upstream_tag>;
 using service_id = text_id<struct service_tag>;
+using model_id = text_id<struct model_tag>;
 using trainer_id = text_id<struct trainer_tag>;
 using caller_class_id = text_id<struct caller_class_tag>;
 using group_id = text_id<struct group_tag>;
@@ -88,7 +89,7 @@
 std::string toString(const endpoint &where);
 
 /// Parses "address:port".
-/// @returns an empty endpoint where the text is not an IP address and a port from 1 to 65535.
+/// @returns an empty endpoint where the text is not an IP address and a port from 0 to 65535.
 endpoint parseEndpoint(const std::string &text);
 
 /// Part of the daemon that an event or effect belongs to.
--- a/src/config_reduce.cpp
+++ b/src/config_reduce.cpp
@@ -13,4 +13,11 @@
     return {};
 }
 
+std::string describeConfig(const config_state &state, const context &at)
+{
+    static_cast<void>(state);
+    static_cast<void>(at);
+    return "{}";
+}
+
 } // namespace jacinthvale
--- a/src/fleet_reduce.cpp
+++ b/src/fleet_reduce.cpp
@@ -13,4 +13,11 @@
     return {};
 }
 
+std::string describeFleet(const fleet_state &state, const context &at)
+{
+    static_cast<void>(state);
+    static_cast<void>(at);
+    return "{}";
+}
+
 } // namespace jacinthvale
--- a/src/membership_reduce.cpp
+++ b/src/membership_reduce.cpp
@@ -13,4 +13,11 @@
     return {};
 }
 
+std::string describeMembership(const membership_state &state, const context &at)
+{
+    static_cast<void>(state);
+    static_cast<void>(at);
+    return "{}";
+}
+
 } // namespace jacinthvale
--- a/src/requests_reduce.cpp
+++ b/src/requests_reduce.cpp
@@ -13,4 +13,11 @@
     return {};
 }
 
+std::string describeRequests(const requests_state &state, const context &at)
+{
+    static_cast<void>(state);
+    static_cast<void>(at);
+    return "{}";
+}
+
 } // namespace jacinthvale
--- a/src/samples_reduce.cpp
+++ b/src/samples_reduce.cpp
@@ -13,4 +13,11 @@
     return {};
 }
 
+std::string describeSamples(const samples_state &state, const context &at)
+{
+    static_cast<void>(state);
+    static_cast<void>(at);
+    return "{}";
+}
+
 } // namespace jacinthvale
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -37,7 +37,7 @@
     int port = 0;
     const std::string address = text.substr(0, colon);
     const bool parsed = absl::SimpleAtoi(text.substr(colon + 1), &port);
-    if (!parsed || port < 1 || port > kMaxPort || !isIpAddress(address)) {
+    if (!parsed || port < 0 || port > kMaxPort || !isIpAddress(address)) {
         return {};
     }
     return {address, static_cast<std::uint16_t>(port)};
