Notice callers that go away; tests of the runtime's edges

Cause: two tests failed: evhttp stops reading between a request and its answer, so a caller that closes or half-closes was never noticed and its upstream stream would run on. A third died of SIGPIPE under a slow reader. Ruled out: reading during the exchange (evhttp ends the process on an early next request). Change: an EV_CLOSED event for each exchange; aborted and slow exchanges are closed from the loop by the same event.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -110,7 +110,8 @@
 {
 public:
     implementation(event_base *base, http_server_limits limits, http_server_listener listener)
-        : m_limits(limits)
+        : m_base(base)
+        , m_limits(limits)
         , m_listener(std::move(listener))
         , m_http(evhttp_new(base))
     {
@@ -124,9 +125,8 @@
     ~implementation()
     {
         for (auto &[id, open] : m_exchanges) {
-            if (open.connection != nullptr) {
-                evhttp_connection_set_closecb(open.connection, nullptr, nullptr);
-            }
+            evhttp_connection_set_closecb(open.connection, nullptr, nullptr);
+            event_free(open.hangUp);
         }
         evhttp_free(m_http);
     }
@@ -182,7 +182,8 @@
         const scratch_buffer bytes(answer.bytes);
         evhttp_send_reply_chunk(open->request, bytes.get());
         if (unsentBytes(*open) > m_limits.maxUnreadBytes) {
-            abandonSlowReader(answer.exchange, *open);
+            giveUp(*open);
+            m_listener.onAbandoned({answer.exchange});
         }
     }
 
@@ -195,8 +196,7 @@
             return;
         }
         if (exchange *open = find(answer.exchange)) {
-            open->given_up = true;
-            cut(*open);
+            giveUp(*open);
         }
     }
 
@@ -211,8 +211,11 @@
         exchange_id id;
         evhttp_request *request = nullptr;
         evhttp_connection *connection = nullptr;
-        /// The connection was cut by us; its close is no news.
-        bool given_up = false;
+        /// Fires when the caller closes, and when we give the connection up. evhttp itself does not read, and
+        /// so does not notice a close, between a request and its answer.
+        ::event *hangUp = nullptr;
+        /// We gave the connection up; its close is no news.
+        bool givenUp = false;
     };
 
     static void handle(evhttp_request *request, void *self)
@@ -224,8 +227,12 @@
     {
         const exchange_id id{++m_lastId};
         exchange &open = m_exchanges[id];
-        open = {this, id, request, evhttp_request_get_connection(request), false};
-        evhttp_connection_set_closecb(open.connection, &implementation::closed, &open);
+        evhttp_connection *connection = evhttp_request_get_connection(request);
+        const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        ::event *hangUp = event_new(m_base, socket, EV_CLOSED, &implementation::hungUp, &open);
+        open = {this, id, request, connection, hangUp, false};
+        event_add(hangUp, nullptr);
+        evhttp_connection_set_closecb(connection, &implementation::closed, &open);
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
         const char *path = evhttp_uri_get_path(uri);
         m_listener.onRequest({id, methodName(evhttp_request_get_command(request)),
@@ -237,28 +244,46 @@
     /// evhttp closes the connection of an unfinished exchange.
     static void closed(evhttp_connection *, void *argument)
     {
-        auto *open = static_cast<exchange *>(argument);
+        const auto *open = static_cast<exchange *>(argument);
+        // evhttp detaches an unanswered request from a connection that fails, and leaves it to us.
+        if (evhttp_request_get_connection(open->request) == nullptr) {
+            evhttp_request_free(open->request);
+        }
         open->owner->forget(*open);
     }
 
+    static void hungUp(evutil_socket_t, short, void *argument)
+    {
+        const auto *open = static_cast<exchange *>(argument);
+        evhttp_connection *connection = open->connection;
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        open->owner->forget(*open);
+        // Frees the unanswered request, too.
+        evhttp_connection_free(connection);
+    }
+
     void forget(const exchange &open)
     {
         const exchange_id id = open.id;
-        const bool tell = !open.given_up;
-        // evhttp detaches an unanswered request from a connection that fails, and leaves it to us.
-        if (evhttp_request_get_connection(open.request) == nullptr) {
-            evhttp_request_free(open.request);
-        }
+        const bool tell = !open.givenUp;
+        event_free(open.hangUp);
         m_exchanges.erase(id);
         if (tell) {
             m_listener.onAbandoned({id});
         }
     }
 
+    /// The connection is closed from the event loop: evhttp may be using it now.
+    static void giveUp(exchange &open)
+    {
+        open.givenUp = true;
+        event_active(open.hangUp, EV_CLOSED, 1);
+    }
+
     exchange *find(exchange_id id)
     {
         const auto found = m_exchanges.find(id);
-        return found == m_exchanges.end() || found->second.given_up ? nullptr : &found->second;
+        return found == m_exchanges.end() || found->second.givenUp ? nullptr : &found->second;
     }
 
     /// Takes an exchange off the books because its whole answer is about to be handed over.
@@ -270,6 +295,7 @@
         }
         evhttp_request *request = open->request;
         watchFlush(*open);
+        event_free(open->hangUp);
         m_exchanges.erase(id);
         return request;
     }
@@ -301,20 +327,7 @@
         return evbuffer_get_length(bufferevent_get_output(buffer));
     }
 
-    void abandonSlowReader(exchange_id id, exchange &open)
-    {
-        open.given_up = true;
-        cut(open);
-        m_listener.onAbandoned({id});
-    }
-
-    /// Makes the socket fail; evhttp then closes the connection from its own loop.
-    static void cut(const exchange &open)
-    {
-        bufferevent *buffer = evhttp_connection_get_bufferevent(open.connection);
-        ::shutdown(bufferevent_getfd(buffer), SHUT_RDWR);
-    }
-
+    event_base *m_base;
     http_server_limits m_limits;
     http_server_listener m_listener;
     evhttp *m_http;
--- /dev/null
+++ b/tests/test_runtime_http.cpp
@@ -0,0 +1,409 @@
+// What the HTTP server and client do at the edges: reused, half-closed, silent, slow and malformed
+// connections.
+#include "event_timer.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <csignal>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <jacinthvale/http_client.h>
+#include <jacinthvale/http_server.h>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace jacinthvale;
+
+namespace {
+
+constexpr milliseconds kLongestWait{20000};
+
+/// Event loop of one test.
+class test_loop
+{
+public:
+    test_loop()
+        : m_base(event_base_new())
+    {}
+    ~test_loop() { event_base_free(m_base); }
+    test_loop(const test_loop &) = delete;
+    test_loop &operator=(const test_loop &) = delete;
+
+    event_base *base() const { return m_base; }
+
+    /// Runs the loop until the condition holds. @returns false if it never did.
+    bool runUntil(const std::function<bool()> &condition) const
+    {
+        bool late = false;
+        event_timer limit(m_base, [&] { late = true; });
+        limit.start(kLongestWait);
+        while (!condition() && !late) {
+            event_base_loop(m_base, EVLOOP_ONCE);
+        }
+        return condition();
+    }
+
+private:
+    event_base *m_base;
+};
+
+/// TCP server that hands bytes to a function and counts connections.
+class raw_server
+{
+public:
+    using bytes_handler = std::function<void(bufferevent *connection, const std::string &bytes)>;
+
+    raw_server(event_base *base, bytes_handler handler)
+        : m_base(base)
+        , m_handler(std::move(handler))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_listener = evconnlistener_new_bind(base, &raw_server::accepted, this, LEV_OPT_CLOSE_ON_FREE, -1,
+                                             reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        socklen_t size = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~raw_server()
+    {
+        for (bufferevent *one : m_open) {
+            bufferevent_free(one);
+        }
+        evconnlistener_free(m_listener);
+    }
+    raw_server(const raw_server &) = delete;
+    raw_server &operator=(const raw_server &) = delete;
+
+    endpoint where() const { return {"127.0.0.1", m_port}; }
+    int connections() const { return m_connections; }
+
+    void close(bufferevent *connection)
+    {
+        m_open.erase(connection);
+        bufferevent_free(connection);
+    }
+
+private:
+    static void accepted(evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self)
+    {
+        auto *server = static_cast<raw_server *>(self);
+        ++server->m_connections;
+        bufferevent *connection = bufferevent_socket_new(server->m_base, socket, BEV_OPT_CLOSE_ON_FREE);
+        server->m_open.insert(connection);
+        bufferevent_setcb(
+                connection,
+                [](bufferevent *c, void *s) {
+                    evbuffer *input = bufferevent_get_input(c);
+                    std::string bytes(evbuffer_get_length(input), '\0');
+                    evbuffer_remove(input, bytes.data(), bytes.size());
+                    static_cast<raw_server *>(s)->m_handler(c, bytes);
+                },
+                nullptr, [](bufferevent *c, short, void *s) { static_cast<raw_server *>(s)->close(c); },
+                self);
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+    }
+
+    event_base *m_base;
+    bytes_handler m_handler;
+    evconnlistener *m_listener = nullptr;
+    std::uint16_t m_port = 0;
+    int m_connections = 0;
+    std::set<bufferevent *> m_open;
+};
+
+/// Client socket that the test writes to byte by byte.
+class raw_client
+{
+public:
+    explicit raw_client(std::uint16_t port, int receiveBuffer = 0)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        if (receiveBuffer > 0) {
+            setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        EXPECT_EQ(::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
+        evutil_make_socket_nonblocking(m_socket);
+    }
+    ~raw_client() { ::close(m_socket); }
+    raw_client(const raw_client &) = delete;
+    raw_client &operator=(const raw_client &) = delete;
+
+    void send(const std::string &bytes) const
+    {
+        static_cast<void>(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    }
+    void shutdownWriting() const { ::shutdown(m_socket, SHUT_WR); }
+    void reset()
+    {
+        ::close(m_socket);
+        m_socket = -1;
+    }
+
+    /// Reads what is there now. @returns everything read so far.
+    const std::string &received()
+    {
+        std::array<char, 4096> bytes{};
+        ssize_t size = 0;
+        while ((size = ::recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT)) > 0) {
+            m_received.append(bytes.data(), static_cast<std::size_t>(size));
+        }
+        return m_received;
+    }
+
+private:
+    int m_socket;
+    std::string m_received;
+};
+
+/// HTTP server whose exchanges the test answers by hand.
+struct manual_server
+{
+    explicit manual_server(event_base *base, http_server_limits limits = {})
+        : server(base, limits,
+                 {[this](http_request_received request) { requests.push_back(std::move(request)); },
+                  [this](http_exchange_abandoned e) { abandoned.push_back(e.exchange); }})
+    {
+        EXPECT_TRUE(server.listen({"127.0.0.1", 0}).ok());
+    }
+
+    endpoint where() const { return {"127.0.0.1", server.port()}; }
+
+    std::vector<http_request_received> requests;
+    std::vector<exchange_id> abandoned;
+    http_server server;
+};
+
+/// One call and what became of it.
+struct watched_call
+{
+    std::optional<http_call_finished> finished;
+    std::string streamed;
+
+    http_call_listener listener()
+    {
+        return {[](int, const http_headers &) {}, [this](const std::string &bytes) { streamed += bytes; },
+                [this](http_call_finished result) { finished = std::move(result); }};
+    }
+};
+
+call_http makeCall(const endpoint &target)
+{
+    call_http call;
+    call.target = target;
+    call.path = "/x";
+    call.body = "{}";
+    return call;
+}
+
+constexpr const char *kKeepAliveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST(http_client, neverSendsARequestTwiceWhenAReusedConnectionCloses)
+{
+    const test_loop loop;
+    int requests = 0;
+    raw_server *self = nullptr;
+    raw_server server(loop.base(), [&](bufferevent *connection, const std::string &bytes) {
+        requests += bytes.find("POST /x") != std::string::npos ? 1 : 0;
+        if (requests == 1) {
+            bufferevent_write(connection, kKeepAliveAnswer, strlen(kKeepAliveAnswer));
+        } else {
+            self->close(connection);
+        }
+    });
+    self = &server;
+    http_client client(loop.base());
+    watched_call first;
+    client.start(makeCall(server.where()), first.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return first.finished.has_value(); }));
+    EXPECT_EQ(first.finished->outcome, transfer_outcome::complete);
+    watched_call second;
+    client.start(makeCall(server.where()), second.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return second.finished.has_value(); }));
+    EXPECT_EQ(second.finished->outcome, transfer_outcome::broken);
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(server.connections(), 1);
+}
+
+TEST(http_client, opensAnotherConnectionForAFreshCall)
+{
+    const test_loop loop;
+    raw_server server(loop.base(), [&](bufferevent *connection, const std::string &) {
+        bufferevent_write(connection, kKeepAliveAnswer, strlen(kKeepAliveAnswer));
+    });
+    http_client client(loop.base());
+    for (int i = 0; i < 2; ++i) {
+        watched_call call;
+        call_http fresh = makeCall(server.where());
+        fresh.freshConnection = true;
+        client.start(fresh, call.listener());
+        ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+        EXPECT_EQ(call.finished->body, "ok");
+    }
+    EXPECT_EQ(server.connections(), 2);
+}
+
+TEST(http_client, reportsNothingSentWhenNobodyListens)
+{
+    const test_loop loop;
+    endpoint closed;
+    {
+        const raw_server server(loop.base(), [](bufferevent *, const std::string &) {});
+        closed = server.where();
+    }
+    http_client client(loop.base());
+    watched_call call;
+    client.start(makeCall(closed), call.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+    EXPECT_EQ(call.finished->outcome, transfer_outcome::nothing_sent);
+}
+
+TEST(http_client, reportsATimeoutAfterSendingToASilentServer)
+{
+    const test_loop loop;
+    const raw_server server(loop.base(), [](bufferevent *, const std::string &) {});
+    http_client client(loop.base());
+    watched_call call;
+    call_http patient = makeCall(server.where());
+    patient.progressTimeout = milliseconds{50};
+    client.start(patient, call.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+    EXPECT_EQ(call.finished->outcome, transfer_outcome::timed_out);
+    EXPECT_EQ(client.runningCalls(), 0U);
+}
+
+TEST(http_client, seesAnAbortedStreamAsBroken)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    http_client client(loop.base());
+    watched_call call;
+    call_http streamed = makeCall(upstream.where());
+    streamed.streamed = true;
+    client.start(streamed, call.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return !upstream.requests.empty(); }));
+    const exchange_id exchange = upstream.requests[0].exchange;
+    upstream.server.begin({exchange, 200, {}});
+    upstream.server.chunk({exchange, "part"});
+    ASSERT_TRUE(loop.runUntil([&] { return call.streamed == "part"; }));
+    upstream.server.end({exchange, true});
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+    EXPECT_EQ(call.finished->outcome, transfer_outcome::broken);
+    EXPECT_TRUE(upstream.abandoned.empty());
+    EXPECT_EQ(upstream.server.openExchanges(), 0U);
+}
+
+TEST(http_client, cancelClosesTheConnectionSoThatTheServerLearnsOfIt)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    http_client client(loop.base());
+    watched_call call;
+    const http_call_handle handle = client.start(makeCall(upstream.where()), call.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return !upstream.requests.empty(); }));
+    client.cancel(handle);
+    ASSERT_TRUE(loop.runUntil([&] { return !upstream.abandoned.empty(); }));
+    EXPECT_FALSE(call.finished.has_value());
+    upstream.server.reply({upstream.requests[0].exchange, 200, {}, "late"});
+    EXPECT_EQ(upstream.server.openExchanges(), 0U);
+}
+
+TEST(http_client, carriesLargeBodiesBothWays)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    http_client client(loop.base());
+    watched_call call;
+    call_http large = makeCall(upstream.where());
+    large.body.assign(6 * 1024 * 1024, 'q');
+    client.start(large, call.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return !upstream.requests.empty(); }));
+    EXPECT_EQ(upstream.requests[0].body, large.body);
+    upstream.server.reply({upstream.requests[0].exchange, 200, {}, std::string(6 * 1024 * 1024, 'a')});
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+    EXPECT_EQ(call.finished->body, std::string(6 * 1024 * 1024, 'a'));
+}
+
+TEST(http_server, refusesWhatIsMalformedAndGoesOn)
+{
+    const test_loop loop;
+    http_server_limits limits;
+    limits.maxBodyBytes = 100;
+    limits.maxHeaderBytes = 1000;
+    manual_server upstream(loop.base(), limits);
+    const std::vector<std::pair<std::string, std::string>> cases = {
+            {"nonsense\r\n\r\n", "400"},
+            {"POST /x HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'b'), "413"},
+            {"POST /x HTTP/1.1\r\nContent-Length: -5\r\n\r\n", "400"},
+            {"GET /x HTTP/1.1\r\nA: " + std::string(2000, 'h') + "\r\n\r\n", "400"},
+            {"BREW /x HTTP/1.1\r\n\r\n", "501"},
+    };
+    for (const auto &[bytes, status] : cases) {
+        raw_client client(upstream.server.port());
+        client.send(bytes);
+        EXPECT_TRUE(loop.runUntil([&] { return client.received().starts_with("HTTP/1.1 " + status); }))
+                << bytes.substr(0, 40) << " gave " << client.received();
+    }
+    EXPECT_TRUE(upstream.requests.empty());
+    raw_client good(upstream.server.port());
+    good.send("GET /x?a=1%202 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 1; }));
+    EXPECT_EQ(upstream.requests[0].query.at("a"), "1 2");
+}
+
+TEST(http_server, takesAHalfClosedCallerForGone)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    const raw_client client(upstream.server.port());
+    client.send("GET /x HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 1; }));
+    client.shutdownWriting();
+    EXPECT_TRUE(loop.runUntil([&] { return upstream.abandoned.size() == 1; }));
+}
+
+TEST(http_server, givesUpAReaderThatIsTooSlow)
+{
+    const test_loop loop;
+    http_server_limits limits;
+    limits.maxUnreadBytes = 64 * 1024;
+    manual_server upstream(loop.base(), limits);
+    const raw_client client(upstream.server.port(), 4096);
+    client.send("GET /x HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 1; }));
+    const exchange_id exchange = upstream.requests[0].exchange;
+    upstream.server.begin({exchange, 200, {}});
+    int chunks = 0;
+    while (upstream.abandoned.empty() && chunks < 10000) {
+        upstream.server.chunk({exchange, std::string(16 * 1024, 's')});
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        ++chunks;
+    }
+    EXPECT_EQ(upstream.abandoned.size(), 1U);
+    EXPECT_TRUE(loop.runUntil([&] { return upstream.server.openExchanges() == 0; }));
+}
+
+TEST(http_server, keepsTrackOfAnswersThatAreNotWrittenYet)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    raw_client client(upstream.server.port());
+    client.send("GET /x HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 1; }));
+    upstream.server.reply({upstream.requests[0].exchange, 200, {}, std::string(4 * 1024 * 1024, 'a')});
+    EXPECT_TRUE(upstream.server.hasUnsentBytes());
+    EXPECT_TRUE(loop.runUntil([&] { return client.received().size() > 4 * 1024 * 1024; }));
+    EXPECT_TRUE(loop.runUntil([&] { return !upstream.server.hasUnsentBytes(); }));
+}
