--- a/src/daemon.h
+++ b/src/daemon.h
@@ -1,9 +1,9 @@
 /// Runs the reducer on an event loop: sockets become events, effects become I/O.
 #pragma once
 
-#include "event_timer.h"
 #include "peer_transport.h"
 #include "process_settings.h"
+#include <jacinthvale/event_timer.h>
 
 #include <jacinthvale/http_client.h>
 #include <jacinthvale/http_server.h>
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,6 +1,6 @@
 #include <jacinthvale/http_client.h>
 
-#include "event_timer.h"
+#include <jacinthvale/event_timer.h>
 
 #include <algorithm>
 #include <deque>
--- a/tests/standins/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Keeps the library of shared stand-in code from being empty.
--- a/tests/standins/standin_names.cpp
+++ /dev/null
@@ -1,4 +0,0 @@
-int main()
-{
-    return 0;
-}
