--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -1,6 +1,6 @@
 // What the HTTP server and client do at the edges: reused, half-closed, silent, slow and malformed
 // connections.
-#include "event_timer.h"
+#include <jacinthvale/event_timer.h>
 
 #include <arpa/inet.h>
 #include <array>
@@ -350,10 +350,12 @@
             {"GET /x HTTP/1.1\r\nA: " + std::string(2000, 'h') + "\r\n\r\n", "400"},
             {"BREW /x HTTP/1.1\r\n\r\n", "501"},
     };
-    for (const auto &[bytes, status] : cases) {
+    for (const auto &item : cases) {
+        const std::string &bytes = item.first;
+        const std::string answer = "HTTP/1.1 " + item.second;
         raw_client client(upstream.server.port());
         client.send(bytes);
-        EXPECT_TRUE(loop.runUntil([&] { return client.received().starts_with("HTTP/1.1 " + status); }))
+        EXPECT_TRUE(loop.runUntil([&] { return client.received().starts_with(answer); }))
                 << bytes.substr(0, 40) << " gave " << client.received();
     }
     EXPECT_TRUE(upstream.requests.empty());
