Requests: verdicts, routing, limits, queue, streams, claims and tickets as one reducer

Cause: the gate answered no request. Callers need true verdicts and at most one run per key.

Engines are always called as streams, so that a broken one can be resumed elsewhere from the tokens so far. A verdict under an idempotency key speaks of the key, not of one try: where the store cannot be asked, the gate says may-have-run unless the caller states that it never sent the key before.

Ruled out: "not run" for every try during a store outage; the key may have run at another gate before.

Not yet proved: tests follow.

--- /dev/null
+++ b/src/requests_answer.cpp
@@ -0,0 +1,182 @@
+// Answers to callers, deadlines, and callers that go away.
+#include "requests_completion.h"
+#include "requests_keyed.h"
+#include "requests_peers.h"
+#include "requests_step.h"
+
+#include "overloaded.h"
+
+#include <algorithm>
+
+namespace jacinthvale {
+
+namespace {
+
+constexpr int kGatewayTimeout = 504;
+constexpr int kUnavailable = 503;
+
+http_headers headersOf(const final_answer &answer)
+{
+    http_headers headers = {{"Jacinthvale-Verdict", std::string(toString(answer.outcome))}};
+    if (!answer.contentType.empty()) {
+        headers["Content-Type"] = answer.contentType;
+    }
+    if (answer.retryAfterSeconds > 0) {
+        headers["Retry-After"] = std::to_string(answer.retryAfterSeconds);
+    }
+    return headers;
+}
+
+request_error deadlineError(const call_record &call)
+{
+    const bool claimDoubt = call.phase == call_phase::claiming && !call.request.firstTry;
+    const bool runDoubt = call.phase == call_phase::running || call.phase == call_phase::awaiting_owner;
+    if (runDoubt || claimDoubt || call.outcome != verdict::not_run) {
+        return {kGatewayTimeout, "deadline", "No whole answer came before the deadline.",
+                verdict::may_have_run, 1};
+    }
+    return {kUnavailable, "deadline", "The deadline passed before the request was sent.", verdict::not_run,
+            1};
+}
+
+/// Ends a streamed answer that has begun, and is not whole.
+void abortStream(requests_step &step, exchange_id exchange, const request_error &error)
+{
+    step.emit(reply_chunk{exchange, streamError(error)});
+    step.emit(end_reply{exchange, true});
+}
+
+void expireRecipient(requests_step &step, const call_record &call, const answer_recipient &recipient)
+{
+    const request_error error = deadlineError(call);
+    const auto *exchange = std::get_if<exchange_id>(&recipient.to);
+    step.count("requests_deadline_total");
+    if (exchange != nullptr && call.replyBegun) {
+        abortStream(step, *exchange, error);
+        step.state.exchanges.erase(*exchange);
+    } else {
+        sendAnswer(step, recipient, toAnswer(error));
+    }
+}
+
+} // namespace
+
+void sendAnswer(requests_step &step, const answer_recipient &recipient, const final_answer &answer)
+{
+    std::visit(overloaded{[&](const exchange_id &exchange) {
+                              step.emit(reply_http{exchange, answer.status, headersOf(answer), answer.body});
+                              step.state.exchanges.erase(exchange);
+                          },
+                          [&](const remote_recipient &remote) { sendRunAnswer(step, remote, answer); }},
+               recipient.to);
+    step.count("requests_answered_total");
+    if (answer.outcome != verdict::ran) {
+        step.count(answer.outcome == verdict::not_run ? "requests_not_run_total"
+                                                      : "requests_may_have_run_total");
+    }
+}
+
+void finishCall(requests_step &step, call_number number, const final_answer &answer)
+{
+    const auto node = step.state.calls.extract(number);
+    if (node.empty()) {
+        return;
+    }
+    const call_record &call = node.mapped();
+    for (const answer_recipient &recipient : call.recipients) {
+        const auto *exchange = std::get_if<exchange_id>(&recipient.to);
+        if (exchange == nullptr || !call.replyBegun) {
+            sendAnswer(step, recipient, answer);
+            continue;
+        }
+        step.state.exchanges.erase(*exchange);
+        if (answer.outcome == verdict::ran) {
+            step.emit(reply_chunk{*exchange, streamEnd()});
+            step.emit(end_reply{*exchange, false});
+        } else {
+            abortStream(
+                    step, *exchange,
+                    {answer.status, "stream-broken", "The stream could not be resumed.", answer.outcome, 0});
+        }
+    }
+    settleRun(step, call, answer);
+}
+
+void dropCall(requests_step &step, call_number number)
+{
+    const auto found = step.state.calls.find(number);
+    if (found == step.state.calls.end()) {
+        return;
+    }
+    for (const answer_recipient &recipient : found->second.recipients) {
+        if (const auto *exchange = std::get_if<exchange_id>(&recipient.to)) {
+            step.state.exchanges.erase(*exchange);
+        }
+    }
+    step.state.calls.erase(found);
+}
+
+void abandonCall(requests_step &step, call_number number)
+{
+    const auto found = step.state.calls.find(number);
+    if (found == step.state.calls.end()) {
+        return;
+    }
+    call_record &call = found->second;
+    const std::string pool = poolName(call.request.kind, call.request.target);
+    if (call.phase == call_phase::queued) {
+        step.state.pools[pool].queue.remove(number);
+        finishCall(step, number,
+                   toAnswer({kUnavailable, "abandoned", "The caller went away.", call.outcome, 0}));
+    } else if (call.phase == call_phase::awaiting_owner) {
+        dropCall(step, number);
+    } else if (call.phase == call_phase::running && call.request.repeatable && call.runName.empty()) {
+        cancelAttempt(step, call);
+        dropCall(step, number);
+        dispatchPool(step, pool);
+    }
+    // A claim on its way and a run that may not be repeated go on without listeners.
+}
+
+void abandonExchange(requests_step &step, exchange_id exchange)
+{
+    const auto found = step.state.exchanges.find(exchange);
+    if (found == step.state.exchanges.end()) {
+        return;
+    }
+    const call_number number = found->second;
+    step.state.exchanges.erase(found);
+    step.count("requests_abandoned_total");
+    call_record &call = step.state.calls.at(number);
+    std::erase_if(call.recipients, [&](const answer_recipient &recipient) {
+        const auto *own = std::get_if<exchange_id>(&recipient.to);
+        return own != nullptr && *own == exchange;
+    });
+    if (call.recipients.empty()) {
+        abandonCall(step, number);
+    }
+}
+
+void expireRecipients(requests_step &step)
+{
+    std::vector<call_number> abandoned;
+    for (auto &[number, call] : step.state.calls) {
+        const auto late
+                = std::stable_partition(call.recipients.begin(), call.recipients.end(),
+                                        [&](const answer_recipient &r) { return step.at.now < r.deadline; });
+        if (late == call.recipients.end()) {
+            continue;
+        }
+        std::for_each(late, call.recipients.end(),
+                      [&](const answer_recipient &r) { expireRecipient(step, call, r); });
+        call.recipients.erase(late, call.recipients.end());
+        if (call.recipients.empty()) {
+            abandoned.push_back(number);
+        }
+    }
+    for (const call_number number : abandoned) {
+        abandonCall(step, number);
+    }
+}
+
+} // namespace jacinthvale
--- /dev/null
+++ b/src/requests_completion.cpp
@@ -0,0 +1,150 @@
+#include "requests_completion.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace jacinthvale {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kDataPrefix = "data:";
+constexpr std::string_view kDone = "[DONE]";
+constexpr std::string_view kEventEnd = "\n\n";
+
+std::string dump(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string eventText(const json &value)
+{
+    return absl::StrCat("data: ", dump(value), "\n\n");
+}
+
+std::uint64_t unsignedOf(const json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+void addTokens(completion_progress &progress, std::uint64_t weightVersion, std::uint64_t tokens)
+{
+    if (tokens == 0) {
+        return;
+    }
+    if (progress.segments.empty() || progress.segments.back().weightVersion != weightVersion) {
+        progress.segments.push_back({weightVersion, 0});
+    }
+    progress.segments.back().tokens += tokens;
+}
+
+/// Adds one parsed event to the progress.
+/// @returns false where it is no completion event.
+bool addEvent(completion_progress &progress, const json &item)
+{
+    const auto choices = item.find("choices");
+    if (choices == item.end() || !choices->is_array() || choices->empty() || !(*choices)[0].is_object()) {
+        return false;
+    }
+    const json &choice = (*choices)[0];
+    if (progress.id.empty() && item.value("id", json()).is_string()) {
+        progress.id = item["id"].get<std::string>();
+    }
+    if (choice.value("text", json()).is_string()) {
+        progress.text += choice["text"].get<std::string>();
+    }
+    if (choice.value("finish_reason", json()).is_string()) {
+        progress.finishReason = choice["finish_reason"].get<std::string>();
+    }
+    addTokens(progress, unsignedOf(item, "weight_version"), unsignedOf(item, "tokens"));
+    return true;
+}
+
+/// @returns the event for the caller, empty where there is none.
+std::string takeEvent(completion_progress &progress, const std::string &text)
+{
+    if (!text.starts_with(kDataPrefix) || !progress.finishReason.empty()) {
+        return {};
+    }
+    const std::string data = text.substr(kDataPrefix.size());
+    json item = json::parse(data, nullptr, false);
+    if (!item.is_object() || !addEvent(progress, item)) {
+        return {};
+    }
+    // The caller sees one id although several engines may have worked on its answer.
+    item["id"] = progress.id;
+    return eventText(item);
+}
+
+} // namespace
+
+std::uint64_t completion_progress::tokens() const
+{
+    return std::accumulate(segments.begin(), segments.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const token_segment &s) { return sum + s.tokens; });
+}
+
+std::string engineBody(const call_record &call, std::int64_t priority)
+{
+    json body = json::parse(call.request.body, nullptr, false);
+    body["stream"] = true;
+    body["priority"] = priority;
+    body["request_id"] = absl::StrCat("r", call.number.value);
+    if (!call.progress.text.empty()) {
+        body["resume_text"] = call.progress.text;
+        body["resume_tokens"] = call.progress.tokens();
+    }
+    return dump(body);
+}
+
+std::string takeStreamBytes(completion_progress &progress, const std::string &bytes)
+{
+    progress.unparsed += bytes;
+    std::string forCaller;
+    std::size_t from = 0;
+    for (std::size_t end = progress.unparsed.find(kEventEnd); end != std::string::npos;
+         end = progress.unparsed.find(kEventEnd, from)) {
+        forCaller += takeEvent(progress, progress.unparsed.substr(from, end - from));
+        from = end + kEventEnd.size();
+    }
+    progress.unparsed.erase(0, from);
+    return forCaller;
+}
+
+std::string streamEnd()
+{
+    return absl::StrCat("data: ", std::string(kDone), "\n\n");
+}
+
+std::string streamError(const request_error &error)
+{
+    return absl::StrCat("data: ", toJson(error), "\n\n");
+}
+
+std::string wholeCompletion(const completion_progress &progress)
+{
+    json segments = json::array();
+    for (const token_segment &segment : progress.segments) {
+        segments.push_back({{"weight_version", segment.weightVersion}, {"tokens", segment.tokens}});
+    }
+    const json choice = {{"index", 0}, {"text", progress.text}, {"finish_reason", progress.finishReason}};
+    return dump({{"id", progress.id},
+                 {"choices", json::array({choice})},
+                 {"segments", segments},
+                 {"usage", {{"completion_tokens", progress.tokens()}}}});
+}
+
+std::string streamedCompletion(const completion_progress &progress)
+{
+    const json choice = {{"index", 0}, {"text", progress.text}, {"finish_reason", progress.finishReason}};
+    json item = {{"id", progress.id}, {"choices", json::array({choice})}, {"tokens", progress.tokens()}};
+    if (!progress.segments.empty()) {
+        item["weight_version"] = progress.segments.back().weightVersion;
+    }
+    return absl::StrCat(eventText(item), streamEnd());
+}
+
+} // namespace jacinthvale
