--- a/src/requests_answer.cpp
+++ b/src/requests_answer.cpp
@@ -160,7 +160,8 @@
 void expireRecipients(requests_step &step)
 {
     std::vector<call_number> abandoned;
-    for (auto &[number, call] : step.state.calls) {
+    for (auto &[number, record] : step.state.calls) {
+        call_record &call = record;
         const auto late
                 = std::stable_partition(call.recipients.begin(), call.recipients.end(),
                                         [&](const answer_recipient &r) { return step.at.now < r.deadline; });
--- a/src/requests_follow.cpp
+++ b/src/requests_follow.cpp
@@ -3,6 +3,7 @@
 #include "requests_parse.h"
 #include "requests_peers.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace jacinthvale {
--- a/src/requests_keyed.cpp
+++ b/src/requests_keyed.cpp
@@ -4,6 +4,7 @@
 #include "overloaded.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace jacinthvale {
 
