Samples: fault test against the trainer's view, and a slot that a removed tombstone left closed

Change: expiring an entry rewrites the slot's index row too; a transaction writes each row once. Ruled out: keeping tombstone rows until the replacement is there; the table would grow with every outage.

--- a/include/jacinthvale/delivery.h
+++ b/include/jacinthvale/delivery.h
@@ -222,6 +222,7 @@
     void write(row_target target, std::string key, std::uint64_t expectedVersion, std::string value);
     void remove(std::string key, std::uint64_t expectedVersion);
     void writeEntryRow(const sequence_entry &entry);
+    void writeIndexRow(const sample_slot &slot, const slot_progress &progress);
     void acknowledge(std::uint64_t through);
     void shrinkIfDelivered(const group_id &id, group_progress &progress);
     void forgetOldGroups();
--- a/src/delivery_builder.cpp
+++ b/src/delivery_builder.cpp
@@ -51,6 +51,12 @@
 void ledger_builder::write(row_target target, std::string key, std::uint64_t expectedVersion,
                            std::string value)
 {
+    // A transaction writes each row once: the last value counts.
+    const auto same = std::ranges::find(m_transact.writes, key, &store_write::key);
+    if (same != m_transact.writes.end()) {
+        same->value = std::move(value);
+        return;
+    }
     m_transact.writes.push_back({std::move(key), expectedVersion, std::move(value), false});
     m_targets.push_back(std::move(target));
 }
@@ -66,6 +72,11 @@
     write(entry.cursor, sequenceKey(m_next.trainer, entry.cursor), entry.rowVersion, writeEntry(entry));
 }
 
+void ledger_builder::writeIndexRow(const sample_slot &slot, const slot_progress &progress)
+{
+    write(slot, indexKey(m_next.trainer, slot), progress.rowVersion, writeIndex(progress, slot));
+}
+
 ledger_builder &ledger_builder::setVersion(weight_version version)
 {
     m_next.head.version = std::max(m_next.head.version, version);
@@ -93,8 +104,7 @@
     ++progress->attempts;
     const sequence_entry entry{
             progress->liveCursor, sample.slot, progress->attempts, sample.segments, payload, false, 0};
-    write(sample.slot, indexKey(m_next.trainer, sample.slot), progress->rowVersion,
-          writeIndex(*progress, sample.slot));
+    writeIndexRow(sample.slot, *progress);
     writeEntryRow(entry);
     m_next.entries[entry.cursor] = entry;
     return true;
@@ -111,7 +121,9 @@
         entry.expired = true;
         writeEntryRow(entry);
         if (slot_progress *progress = findSlot(m_next, entry.slot)) {
+            // The row says so itself: the tombstone may be removed before its replacement is there.
             progress->liveCursor = 0;
+            writeIndexRow(entry.slot, *progress);
         }
         ++count;
     }
