--- a/include/jacinthvale/notice.h
+++ b/include/jacinthvale/notice.h
@@ -123,7 +123,14 @@
     domain which = domain::requests;
 };
 
+/// This process has heard neither the store nor any peer for longer than the bound; its configuration may be
+/// out of date, so it takes no work that may not be repeated until it hears one of them again.
+struct isolation_changed
+{
+    bool isolated = false;
+};
+
 using notice = std::variant<config_in_force, upstream_changed, peer_changed, drain_requested,
-                            weights_published, stopping, domain_drained>;
+                            weights_published, stopping, domain_drained, isolation_changed>;
 
 } // namespace jacinthvale
--- a/src/config_lookup.cpp
+++ b/src/config_lookup.cpp
@@ -1,4 +1,5 @@
-#include <jacinthvale/config.h>
+// Which rule decides the value of a key.
+#include <jacinthvale/config_document.h>
 
 #include <algorithm>
 #include <array>
@@ -24,13 +25,17 @@
     return std::ranges::count_if(kScopeFields, [&](field f) { return !(rule.*f).empty(); });
 }
 
+bool hasExpired(const config_exception &rule, wall_time now)
+{
+    return rule.expiresAt && *rule.expiresAt <= now;
+}
+
 const config_exception *findException(const config_document &document, std::string_view key,
                                       const config_scope &scope, wall_time now)
 {
     const config_exception *best = nullptr;
     for (const config_exception &rule : document.exceptions) {
-        const bool expired = rule.expiresAt && *rule.expiresAt <= now;
-        if (rule.key != key || expired || !matches(rule.scope, scope)) {
+        if (rule.key != key || hasExpired(rule, now) || !matches(rule.scope, scope)) {
             continue;
         }
         if (best == nullptr || namedFields(rule.scope) >= namedFields(best->scope)) {
@@ -40,8 +45,27 @@
     return best;
 }
 
+std::string whyPassedOver(const config_exception &rule, const config_exception &winner,
+                          const config_scope &scope, wall_time now)
+{
+    if (hasExpired(rule, now)) {
+        return "has expired";
+    }
+    if (!matches(rule.scope, scope)) {
+        return "its scope does not match";
+    }
+    return namedFields(rule.scope) < namedFields(winner.scope) ? "names fewer fields of the scope"
+                                                               : "a later exception names as many fields";
+}
+
 } // namespace
 
+std::string_view toString(config_rule rule)
+{
+    static constexpr std::array<std::string_view, 3> kNames = {"built-in", "default", "exception"};
+    return kNames.at(static_cast<std::size_t>(rule));
+}
+
 config_value lookup(const config_document &document, std::string_view key, const config_scope &scope,
                     wall_time now)
 {
@@ -51,9 +75,8 @@
     if (const auto found = document.defaults.find(std::string(key)); found != document.defaults.end()) {
         return found->second;
     }
-    const auto &keys = configKeys();
-    const auto known = std::ranges::find(keys, key, &config_key::name);
-    return known == keys.end() ? config_value{std::int64_t{0}} : known->builtIn;
+    const config_key *known = findConfigKey(key);
+    return known == nullptr ? config_value{std::int64_t{0}} : known->builtIn;
 }
 
 std::int64_t lookupInteger(const config_document &document, std::string_view key, const config_scope &scope,
@@ -64,4 +87,25 @@
     return number == nullptr ? 0 : *number;
 }
 
+config_explanation explain(const config_document &document, std::string_view key, const config_scope &scope,
+                           wall_time now)
+{
+    config_explanation result;
+    result.value = lookup(document, key, scope, now);
+    const config_exception *winner = findException(document, key, scope, now);
+    if (winner != nullptr) {
+        result.decidedBy = config_rule::exception;
+        result.rule = *winner;
+    } else if (document.defaults.contains(std::string(key))) {
+        result.decidedBy = config_rule::default_value;
+    }
+    for (const config_exception &rule : document.exceptions) {
+        if (rule.key == key && &rule != winner) {
+            const config_exception &best = winner == nullptr ? rule : *winner;
+            result.passedOver.push_back({rule, whyPassedOver(rule, best, scope, now)});
+        }
+    }
+    return result;
+}
+
 } // namespace jacinthvale
--- a/src/json_checker.cpp
+++ b/src/json_checker.cpp
@@ -48,6 +48,11 @@
     return nullptr;
 }
 
+const nlohmann::json *json_checker::any(const std::string &key, bool required)
+{
+    return find(key, required);
+}
+
 std::string json_checker::text(const std::string &key, std::optional<std::string> fallback)
 {
     const nlohmann::json *value = find(key, !fallback);
--- a/src/json_checker.h
+++ b/src/json_checker.h
@@ -47,6 +47,8 @@
     json_checker object(const std::string &key);
     /// A list of objects; an absent one is empty.
     std::vector<json_checker> objects(const std::string &key);
+    /// A field of any type; null where it is absent.
+    const nlohmann::json *any(const std::string &key, bool required);
     bool has(const std::string &key) const;
     void finish();
     void fault(const std::string &key, const std::string &problem);
