--- a/src/config_keys.cpp
+++ b/src/config_keys.cpp
@@ -1,4 +1,6 @@
-#include <jacinthvale/config.h>
+#include <jacinthvale/config_document.h>
+
+#include <algorithm>
 
 namespace jacinthvale {
 
@@ -6,6 +8,8 @@
 {
     // Sorted by name; one line of meaning each. docs/SETTINGS.md lists them all.
     static const std::vector<config_key> kKeys = {
+            {"config.isolationBoundMs", std::int64_t{10'000}, 4000, 600'000, "ms",
+             "Time without the store and without any peer after which non-repeatable work is refused."},
             {"requests.breakerFailures", std::int64_t{5}, 1, 1000, "failures",
              "Failures in a row after which an upstream gets no requests until a probe succeeds."},
             {"requests.classPriority", std::int64_t{5}, 0, 9, "priority",
@@ -64,4 +68,11 @@
     return kKeys;
 }
 
+const config_key *findConfigKey(std::string_view name)
+{
+    const auto &keys = configKeys();
+    const auto found = std::ranges::find(keys, name, &config_key::name);
+    return found == keys.end() ? nullptr : &*found;
+}
+
 } // namespace jacinthvale
