--- a/include/jacinthvale/lease.h
+++ b/include/jacinthvale/lease.h
@@ -82,6 +82,9 @@
     /// @returns true where the row has to be read before anything else can be done.
     bool needsRead() const { return m_needsRead && !m_pending; }
 
+    /// @returns true where the row, as last seen, may be taken over.
+    bool isFree(instant now) const;
+
     bool busy() const { return m_pending.has_value(); }
 
     /// @returns true while the row names this contender as holder, as far as it knows.
@@ -108,7 +111,6 @@
 
     store_transact write(const lease_record &record, instant now);
     void takeRow(const std::optional<store_row> &row, instant now);
-    bool isFree(instant now) const;
 
     std::string m_key;
     host_id m_self;
--- a/include/jacinthvale/notice.h
+++ b/include/jacinthvale/notice.h
@@ -73,6 +73,30 @@
     bool gone = false;
 };
 
+/// Orders observations of one upstream: those under a later lease epoch are later.
+struct observation_order
+{
+    fencing_number epoch;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const observation_order &) const = default;
+};
+
+/// What the holder of an upstream's shard saw of it.
+struct upstream_observed
+{
+    upstream_id upstream;
+    incarnation_id incarnation;
+    observation_order order;
+    bool reachable = true;
+    bool leaving = false;
+    std::vector<model_weights> models;
+    int running = 0;
+    int queued = 0;
+
+    auto operator<=>(const upstream_observed &) const = default;
+};
+
 /// A daemon of this project, as membership sees it.
 struct peer_view
 {
@@ -123,7 +147,7 @@
     domain which = domain::requests;
 };
 
-using notice = std::variant<config_in_force, upstream_changed, peer_changed, drain_requested,
-                            weights_published, stopping, domain_drained>;
+using notice = std::variant<config_in_force, upstream_changed, upstream_observed, peer_changed,
+                            drain_requested, weights_published, stopping, domain_drained>;
 
 } // namespace jacinthvale
--- a/src/membership_reduce.cpp
+++ b/src/membership_reduce.cpp
@@ -1,5 +1,6 @@
 #include <jacinthvale/membership.h>
 
+#include "jitter.h"
 #include "overloaded.h"
 
 #include <algorithm>
@@ -31,14 +32,6 @@
     return role == "scorer" ? upstream_kind::scorer : upstream_kind::engine;
 }
 
-/// @returns the period with a jitter of a quarter up or down.
-milliseconds jittered(milliseconds period, std::uint64_t random)
-{
-    const std::int64_t half = std::max<std::int64_t>(period.count() / 2, 1);
-    return milliseconds{period.count() - half / 2
-                        + static_cast<std::int64_t>(random % static_cast<std::uint64_t>(half))};
-}
-
 class membership_reducer
 {
 public:
@@ -205,6 +198,16 @@
         publish(known, view);
     }
 
+    void markLeaving(const upstream_id &upstream)
+    {
+        const auto found = m_state.upstreams.find(upstream);
+        if (found != m_state.upstreams.end()) {
+            upstream_view view = found->second.view;
+            view.condition = upstream_condition::leaving;
+            publish(found->second, view);
+        }
+    }
+
     void dropMissing()
     {
         const auto missing = [](const auto &entry) { return entry.second.missedPolls >= kMaxMissedPolls; };
@@ -225,7 +228,9 @@
 
     void onNotice(const notice &what)
     {
-        if (std::holds_alternative<stopping>(what)) {
+        if (const auto *drain = std::get_if<drain_requested>(&what)) {
+            markLeaving(drain->upstream);
+        } else if (std::holds_alternative<stopping>(what)) {
             m_effects.emplace_back(raise_notice{domain_drained{domain::membership}});
         }
     }
