Requests: an owner that falls silent ends the wait; focused and process tests

Cause: a caller that retried a key at another gate waited its whole deadline when the owner had been killed (seen in requests_process.killedOwnerLeavesATruthfulVerdictAndNoSecondRun: 30 s without an answer).

Ruled out: waiting for membership alone; a cut between two gates shows there late or never.

Change: the owner answers every question, also with "pending"; after 5 s without a word the claim row is read and the caller is told the recorded answer or may-have-run. Repeated ticket calls of one gate join once.

--- a/include/jacinthvale/requests.h
+++ b/include/jacinthvale/requests.h
@@ -111,6 +111,8 @@
     endpoint peer;
     incarnation_id incarnation;
     instant nextSend{};
+    /// When it last answered or said that it still runs the request.
+    instant lastHeard{};
     /// Claim row, read now and then; empty for tickets.
     std::string rowKey;
     instant nextRead{};
--- a/src/requests_follow.cpp
+++ b/src/requests_follow.cpp
@@ -29,6 +29,7 @@
     call.phase = call_phase::awaiting_owner;
     call.owner = owner;
     call.owner->nextRead = step.at.now + kReadAgainAfter;
+    call.owner->lastHeard = step.at.now;
     step.count("requests_awaiting_owner_total");
     sendToOwner(step, call);
 }
--- a/src/requests_keyed.cpp
+++ b/src/requests_keyed.cpp
@@ -53,7 +53,11 @@
         if (const auto *exchange = std::get_if<exchange_id>(&recipient.to)) {
             step.state.exchanges[*exchange] = to;
         }
-        target->second.recipients.push_back(std::move(recipient));
+        const bool waits = std::ranges::any_of(
+                target->second.recipients, [&](const answer_recipient &r) { return r.to == recipient.to; });
+        if (!waits) {
+            target->second.recipients.push_back(std::move(recipient));
+        }
     }
     step.count("requests_joined_total");
 }
--- a/src/requests_peers.cpp
+++ b/src/requests_peers.cpp
@@ -13,9 +13,13 @@
 constexpr milliseconds kAskAgainAfter{500};
 constexpr milliseconds kReadAgainAfter{2000};
 constexpr milliseconds kReadDeadline{3000};
+/// An owner that says nothing for this long is taken for dead; it answers each question at once.
+constexpr milliseconds kOwnerSilence{5000};
 
 enum class message_kind : std::uint8_t { run_query = 1, ticket_call = 2, run_answer = 3 };
 
+enum class run_answer_kind : std::uint8_t { answered = 0, pending = 1, unknown_run = 2 };
+
 /// What a message between gates is, and its encoding.
 struct gate_message
 {
@@ -69,8 +73,7 @@
 {
     std::uint64_t number = 0;
     incarnation_id asker;
-    /// The process asked knows nothing of the run.
-    bool gone = false;
+    std::uint8_t kind = 0;
     std::int32_t status = 0;
     std::string contentType;
     std::string body;
@@ -80,7 +83,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(number, asker, gone, status, contentType, body, outcome, retryAfterSeconds);
+        archive(number, asker, kind, status, contentType, body, outcome, retryAfterSeconds);
     }
 };
 
@@ -91,12 +94,12 @@
     step.emit(send_peer{target, peer_transport::stream, domain::requests, encodeWire(wrapped)});
 }
 
-void sendGone(requests_step &step, const remote_recipient &asker)
+void sendWithoutAnswer(requests_step &step, const remote_recipient &asker, run_answer_kind kind)
 {
     run_answer answer;
     answer.number = asker.number;
     answer.asker = asker.incarnation;
-    answer.gone = true;
+    answer.kind = static_cast<std::uint8_t>(kind);
     sendTo(step, asker.gate, message_kind::run_answer, answer);
 }
 
@@ -118,7 +121,7 @@
 {
     const auto found = step.state.runs.find(query.rowKey);
     if (query.owner != step.state.self.incarnation || found == step.state.runs.end()) {
-        sendGone(step, asker);
+        sendWithoutAnswer(step, asker, run_answer_kind::unknown_run);
         return;
     }
     keyed_run &run = found->second;
@@ -126,6 +129,7 @@
         sendRunAnswer(step, asker, *run.answer);
     } else if (const auto call = step.state.calls.find({run.call}); call != step.state.calls.end()) {
         addRecipient(call->second, {asker, step.at.now + milliseconds{query.timeLeftMs}});
+        sendWithoutAnswer(step, asker, run_answer_kind::pending);
     } else {
         // Nothing ran here. A claim in doubt is settled first, so that its row can be removed.
         if (run.phase == run_phase::doubtful) {
@@ -139,7 +143,7 @@
 {
     const auto ticket = parseTicket(passed.ticket);
     if (!ticket || ticket->incarnation != step.state.self.incarnation) {
-        sendGone(step, asker);
+        sendWithoutAnswer(step, asker, run_answer_kind::unknown_run);
         return;
     }
     const call_number number{step.nextNumber()};
@@ -156,6 +160,7 @@
     call.deadline = step.at.now + milliseconds{passed.timeLeftMs};
     call.recipients = {{asker, call.deadline}};
     redeemHere(step, number, *ticket);
+    sendWithoutAnswer(step, asker, run_answer_kind::pending);
 }
 
 void onRunAnswer(requests_step &step, const run_answer &answer)
@@ -165,10 +170,14 @@
         || found->second.phase != call_phase::awaiting_owner) {
         return;
     }
-    if (answer.gone) {
+    if (answer.kind == static_cast<std::uint8_t>(run_answer_kind::unknown_run)) {
         onOwnerGone(step, found->first);
         return;
     }
+    if (answer.kind == static_cast<std::uint8_t>(run_answer_kind::pending)) {
+        found->second.owner->lastHeard = step.at.now;
+        return;
+    }
     const auto outcome = std::min(answer.outcome, static_cast<std::uint8_t>(verdict::ran));
     finishCall(step, found->first,
                {answer.status, answer.contentType, answer.body, static_cast<verdict>(outcome),
@@ -202,7 +211,7 @@
 void sendRunAnswer(requests_step &step, const remote_recipient &recipient, const final_answer &answer)
 {
     sendTo(step, recipient.gate, message_kind::run_answer,
-           run_answer{recipient.number, recipient.incarnation, false, answer.status, answer.contentType,
+           run_answer{recipient.number, recipient.incarnation, 0, answer.status, answer.contentType,
                       answer.body, static_cast<std::uint8_t>(answer.outcome), answer.retryAfterSeconds});
 }
 
@@ -285,10 +294,14 @@
 
 void remindOwners(requests_step &step)
 {
+    std::vector<call_number> silent;
     for (auto &[number, call] : step.state.calls) {
         if (call.phase != call_phase::awaiting_owner) {
             continue;
         }
+        if (!call.owner->gone && step.at.now >= call.owner->lastHeard + kOwnerSilence) {
+            silent.push_back(number);
+        }
         if (!call.owner->gone && step.at.now >= call.owner->nextSend) {
             sendToOwner(step, call);
         }
@@ -297,6 +310,9 @@
             readRow(step, call);
         }
     }
+    for (const call_number number : silent) {
+        onOwnerGone(step, number);
+    }
 }
 
 } // namespace jacinthvale
