Samples: process tests, and more faults in the state test

The trainer's checkpoint is what its last pull acknowledged: a trainer writes its cursor down before it pulls with it.

--- a/tests/standins/samples_world.cpp
+++ b/tests/standins/samples_world.cpp
@@ -169,7 +169,7 @@
                                });
                            }
                        },
-                       [&](const reply_http &e) { takeReply(e); },
+                       [&](const reply_http &e) { takeReply(which, e); },
                        [&](const send_peer &e) {
                            const fake_daemon &sender = m_daemons[which];
                            send(e.target.port, peer_message_received{e.targetDomain, sender.state.self.host,
@@ -265,8 +265,15 @@
     m_pendingStore.erase(chosen);
     const bool write = std::holds_alternative<store_transact>(pending.call.what);
     store_outcome outcome = store_unavailable{"refused"};
-    if (treatment != store_treatment::refuse) {
+    if (treatment == store_treatment::answer || treatment == store_treatment::lose_answer) {
         outcome = m_store.perform(pending.call.what);
+        if (write && std::holds_alternative<store_committed>(outcome)) {
+            checkCommit(std::get<store_transact>(pending.call.what));
+        }
+    }
+    if (treatment == store_treatment::delay && write) {
+        m_delayed.push_back(std::get<store_transact>(pending.call.what));
+        outcome = store_unknown{};
     }
     if (treatment == store_treatment::lose_answer) {
         outcome = write ? store_outcome(store_unknown{}) : store_outcome(store_unavailable{"lost"});
@@ -274,6 +281,54 @@
     sendTo(pending.daemon, pending.life, store_answered{pending.call.operation, outcome});
 }
 
+void samples_world::applyDelayed()
+{
+    for (const store_transact &late : m_delayed) {
+        if (std::holds_alternative<store_committed>(m_store.perform(late))) {
+            checkCommit(late);
+        }
+    }
+    m_delayed.clear();
+}
+
+/// No new entry is over the bound of the head row that the same transaction writes.
+void samples_world::checkCommit(const store_transact &what)
+{
+    std::uint64_t version = 0;
+    for (const store_write &write : what.writes) {
+        if (write.key.starts_with(kHeadPrefix)) {
+            version = readHead(write.value)->version.value;
+        }
+    }
+    for (const store_write &write : what.writes) {
+        if (!write.key.starts_with("rollout/sequence/") || write.expectedVersion != 0) {
+            continue;
+        }
+        for (const nlohmann::json &segment : nlohmann::json::parse(write.value).at("segments")) {
+            if (segment.at(0).get<std::uint64_t>() + kBound < version) {
+                m_broken.push_back("committed over the bound: " + write.value);
+            }
+        }
+    }
+}
+
+/// A holder hands nothing over that is over the bound of the version that it knows.
+void samples_world::checkKnownVersion(std::size_t which, const nlohmann::json &body)
+{
+    const auto session = m_daemons[which].state.sessions.find({kTrainer});
+    if (!body.is_object() || !body.contains("samples") || session == m_daemons[which].state.sessions.end()
+        || session->second.phase != lease_phase::holding) {
+        return;
+    }
+    for (const nlohmann::json &entry : body.at("samples")) {
+        for (const nlohmann::json &segment : entry.value("segments", nlohmann::json::array())) {
+            if (segment.at("weightVersion").get<std::uint64_t>() + kBound < session->second.version.value) {
+                m_broken.push_back("handed over against the known version: " + entry.dump());
+            }
+        }
+    }
+}
+
 void samples_world::announceEngine(const fake_engine &engine)
 {
     for (std::size_t i = 0; i < kDaemons; ++i) {
@@ -318,6 +373,13 @@
     engine.held = taken ? m_trainer.version : engine.held;
 }
 
+void samples_world::confuseBriefly(std::size_t which, bool taken)
+{
+    confuseEngine(which, taken);
+    generateTokens();
+    clearEngine(which);
+}
+
 void samples_world::clearEngine(std::size_t which)
 {
     fake_engine &engine = m_engines[which % kEngines];
@@ -426,14 +488,15 @@
 
 void samples_world::repeatOldPull(std::size_t which)
 {
-    if (!m_lastPullQuery.empty()) {
-        request(which, "GET", "samples", m_lastPullQuery, "");
+    if (!m_deliveredPullQuery.empty()) {
+        request(which, "GET", "samples", m_deliveredPullQuery, "");
     }
 }
 
-void samples_world::takeReply(const reply_http &reply)
+void samples_world::takeReply(std::size_t which, const reply_http &reply)
 {
     const nlohmann::json body = nlohmann::json::parse(reply.body, nullptr, false);
+    checkKnownVersion(which, body);
     if (const auto posted = m_trainer.posted.find(reply.exchange.value); posted != m_trainer.posted.end()) {
         if (reply.status == kHttpOk) {
             const nlohmann::json group = nlohmann::json::parse(posted->second);
@@ -446,6 +509,9 @@
     }
     m_trainer.outstanding = {};
     if (reply.status == kHttpOk) {
+        if (!body.at("samples").empty()) {
+            m_deliveredPullQuery = m_lastPullQuery;
+        }
         takeSamples(body);
     }
 }
--- a/tests/standins/samples_world.h
+++ b/tests/standins/samples_world.h
@@ -102,13 +102,17 @@
     // Faults and progress; each takes a number that chooses its target.
     void passTime(milliseconds time);
     /// How the store treats the oldest operation.
-    enum class store_treatment { answer, lose_answer, refuse };
+    enum class store_treatment { answer, lose_answer, refuse, delay };
     void serveStore(std::size_t which, store_treatment treatment);
+    /// Writes that were delayed take effect now, if they still can; nobody hears of it.
+    void applyDelayed();
     void generateTokens();
     void crashEngine(std::size_t which);
     void swapEngine(std::size_t which);
     void confuseEngine(std::size_t which, bool taken);
     void clearEngine(std::size_t which);
+    /// A failed swap, tokens from the unclear engine, and its recovery, all between two status reads.
+    void confuseBriefly(std::size_t which, bool taken);
     void pauseDaemon(std::size_t which);
     void wakeDaemon(std::size_t which);
     void killDaemon(std::size_t which);
@@ -143,7 +147,9 @@
     void perform(std::size_t which, const effect &what);
     void startCall(std::size_t which, const call_http &call);
     void announceEngine(const fake_engine &engine);
-    void takeReply(const reply_http &reply);
+    void takeReply(std::size_t which, const reply_http &reply);
+    void checkCommit(const store_transact &what);
+    void checkKnownVersion(std::size_t which, const nlohmann::json &body);
     void takeSamples(const nlohmann::json &body);
     void checkEntry(const nlohmann::json &entry);
     void emitToken(fake_engine &engine, fake_stream &stream);
@@ -156,10 +162,13 @@
     std::vector<fake_engine> m_engines;
     upstream_view m_scorer;
     std::deque<pending_store> m_pendingStore;
+    std::vector<store_transact> m_delayed;
     fake_trainer m_trainer;
     /// Daemon that got the request of an exchange.
     std::map<std::uint64_t, std::size_t> m_postedTo;
     std::map<std::string, std::string> m_lastPullQuery;
+    /// Last pull that was answered with samples.
+    std::map<std::string, std::string> m_deliveredPullQuery;
     instant m_now{milliseconds{1000}};
     std::uint64_t m_random = 1;
     std::uint64_t m_lastExchange = 0;
--- a/tests/test_samples_faults.cpp
+++ b/tests/test_samples_faults.cpp
@@ -23,10 +23,10 @@
 
     explicit world_step(const no_model &)
     {
-        kind = *rc::gen::weightedElement<int>({{30, 0}, {2, 1},  {3, 2},  {2, 3},  {2, 4},  {1, 5},
-                                               {3, 6},  {2, 7},  {2, 8},  {2, 9},  {2, 10}, {1, 11},
-                                               {1, 12}, {3, 13}, {2, 14}, {2, 15}, {1, 16}, {2, 17},
-                                               {1, 18}, {1, 19}, {2, 20}, {2, 21}});
+        kind = *rc::gen::weightedElement<int>({{30, 0}, {2, 1},  {3, 2},  {2, 3},  {2, 4},  {1, 5},  {3, 6},
+                                               {2, 7},  {2, 8},  {2, 9},  {2, 10}, {1, 11}, {1, 12}, {3, 13},
+                                               {2, 14}, {2, 15}, {1, 16}, {2, 17}, {1, 18}, {1, 19}, {2, 20},
+                                               {2, 21}, {3, 22}, {1, 23}, {2, 24}, {2, 25}, {4, 26}});
         target = *rc::gen::inRange<std::size_t>(0, 3);
     }
 
@@ -84,6 +84,19 @@
             return world.restartTrainer(target);
         case 21:
             return world.restartTrainer(target);
+        case 22:
+            return world.serveStore(target, treatment::delay);
+        case 23:
+            return world.applyDelayed();
+        case 24:
+            world.publishWeights(2);
+            return world.repeatOldPull(0);
+        case 25:
+            world.pull(target);
+            return world.publishWeights(2);
+        case 26:
+            world.publishWeights(0);
+            return world.confuseBriefly(target, target == 0);
         default:
             return world.confuseEngine(target, false);
         }
@@ -99,6 +112,10 @@
     samples_world world;
     world.postGroup(0, 4);
     world.postGroup(0, 3);
+    const int warmUp = *rc::gen::inRange(0, 16);
+    for (int i = 0; i < warmUp; ++i) {
+        world.work(1);
+    }
     rc::state::check(no_model{}, world, rc::state::gen::execOneOfWithArgs<world_step>());
     RC_ASSERT(world.heal());
     RC_ASSERT(world.broken().empty());
