--- a/include/jacinthvale/fleet.h
+++ b/include/jacinthvale/fleet.h
@@ -54,6 +54,8 @@
     instant nextPoll{};
     std::optional<weight_order> order;
     std::map<model_id, unanswered_order> doubts;
+    /// Models that this incarnation does not know; not ordered again.
+    std::set<model_id> unknownModels;
     /// Answer of the last order that took effect; older statuses do not count.
     std::uint64_t confirmedSwapCounter = 0;
     incarnation_id confirmedIncarnation;
--- a/src/fleet_leases.cpp
+++ b/src/fleet_leases.cpp
@@ -9,6 +9,8 @@
 
 /// Each better candidate delays a take-over by this much.
 constexpr milliseconds kRankDelay{2000};
+/// Time in which a better candidate notices that a shard was handed over to it.
+constexpr milliseconds kHandOverTime{6000};
 /// Time for which a better candidate must be seen before a shard is handed over to it.
 constexpr milliseconds kHandOverDelay{5000};
 
@@ -43,6 +45,7 @@
 void advanceHeld(fleet_run &run, std::size_t shard, std::int64_t rank)
 {
     fleet_shard &one = run.state.shards[shard];
+    one.freeSince.reset();
     if (rank == 0) {
         one.betterSince.reset();
     } else if (!one.betterSince) {
@@ -67,7 +70,10 @@
     if (!one.freeSince) {
         one.freeSince = run.at.now;
     }
-    if (run.at.now >= *one.freeSince + rank * kRankDelay) {
+    const std::optional<lease_record> &last = one.holding.lastRecord();
+    const bool handedOver = rank > 0 && last && last->released && last->holder == run.state.self.host;
+    const milliseconds wait = rank * kRankDelay + (handedOver ? kHandOverTime : milliseconds{0});
+    if (run.at.now >= *one.freeSince + wait) {
         submit(run, shard, one.holding.acquire(run.at.now));
     }
 }
--- a/src/fleet_observe.cpp
+++ b/src/fleet_observe.cpp
@@ -59,6 +59,9 @@
     if (std::optional<upstream_status> status = answered ? parseUpstreamStatus(result.body) : std::nullopt) {
         known.failedPolls = 0;
         settleDoubts(known, *status);
+        if (known.status && known.status->incarnation != status->incarnation) {
+            known.unknownModels.clear();
+        }
         known.status = std::move(status);
         tellObservation(run, known);
     } else if (++known.failedPolls == kFailuresUntilDown) {
--- a/src/fleet_weights.cpp
+++ b/src/fleet_weights.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
 constexpr std::int64_t kTokenUnit = 1000;
 constexpr std::int64_t kPercent = 100;
@@ -45,8 +46,12 @@
                                                                                : known.view.models;
 }
 
+/// @returns true where nothing is to be ordered for this model.
 bool serves(const fleet_upstream &known, const model_id &model, weight_version version)
 {
+    if (known.unknownModels.contains(model)) {
+        return true;
+    }
     const auto &models = reportedModels(known);
     const auto found = std::ranges::find(models, model, &model_weights::model);
     return found != models.end() && found->clear && found->version == version
@@ -181,6 +186,8 @@
     if (result.outcome == transfer_outcome::broken || result.outcome == transfer_outcome::timed_out) {
         known.doubts[order.model] = {order.swapCounter, known.status->incarnation};
         tellObservation(run, known);
+    } else if (result.status == kHttpNotFound) {
+        known.unknownModels.insert(order.model);
     } else if (result.status == kHttpConflict) {
         run.leaseOf(known.view.id).sawFencing({numberIn(result.body, "highestFencing")});
     }
