--- a/include/jacinthvale/config_state.h
+++ b/include/jacinthvale/config_state.h
@@ -77,6 +77,8 @@
     config_revision inForceBefore;
     config_revision headRevision;
     std::uint64_t headVersion = 0;
+    /// True where the head was read again, as a peer had said that it has a higher revision.
+    bool headReread = false;
     config_document next;
 };
 
--- a/src/config_commit.cpp
+++ b/src/config_commit.cpp
@@ -117,12 +117,17 @@
 
 void config_domain::onChangeLookedUp(std::uint64_t id, const store_rows &found)
 {
-    config_running_change &change = changeOf(id);
     if (!found.rows.empty()) {
         const auto row = decodeChangeRow(found.rows.front().value);
         answerKnown(id, row.ok() ? *row : config_change_row{});
         return;
     }
+    readHeadFor(id);
+}
+
+void config_domain::readHeadFor(std::uint64_t id)
+{
+    config_running_change &change = changeOf(id);
     change.phase = config_change_phase::reading_head;
     change.inForceBefore = m_state.inForce->revision;
     callStore(config_change_step{id}, store_get{kConfigHeadKey}, kConfigReadDeadline);
@@ -188,32 +193,61 @@
 
 void config_domain::applyAndCommit(std::uint64_t id)
 {
-    const config_running_change &change = changeOf(id);
-    const config_revision highest = std::max(m_state.highestSeen, m_state.inForce->revision);
-    if (change.repair) {
-        if (highest > m_state.inForce->revision && !change.what.alone) {
-            refuse(id, unavailable("not-highest", "A peer has a higher revision; repair through that one."));
-            return;
-        }
-        const config_revision next{std::max(highest, change.headRevision).value + 1};
-        commit(id, carryForward(*m_state.inForce, next, change.what, change.author, m_at.wallNow));
+    if (changeOf(id).repair) {
+        commitRepair(id);
         return;
     }
-    if (m_state.inForce->revision != change.headRevision || highest > change.headRevision) {
-        refuse(id, unavailable("revision-moved",
-                               "Another revision is coming into force; read it and try again."));
+    if (!baseStillHolds(id)) {
         return;
     }
+    const config_running_change change = changeOf(id);
     const config_application applied
             = applyChange(*m_state.inForce, change.what, change.author, m_at.wallNow);
-    if (!applied.faults.empty()) {
-        const config_running_change refused = change;
-        m_state.changes.erase(id);
-        replyRefusal(refused.exchange, {kHttpBadRequest, "refused", "invalid", toText(applied.faults)},
-                     refused.what.changeId, applied.faults);
+    if (applied.faults.empty()) {
+        commit(id, applied.document);
+        return;
+    }
+    m_state.changes.erase(id);
+    replyRefusal(change.exchange, {kHttpBadRequest, "refused", "invalid", toText(applied.faults)},
+                 change.what.changeId, applied.faults);
+}
+
+/// Looks at what came into force, or was heard of, since the head was read. Answers where the base is lost.
+bool config_domain::baseStillHolds(std::uint64_t id)
+{
+    config_running_change &change = changeOf(id);
+    const config_document &inForce = *m_state.inForce;
+    if (inForce.revision > change.headRevision) {
+        refuseLost(id, {inForce.revision, inForce.hash, inForce.changeId, inForce.author, inForce.reason});
+        return false;
+    }
+    if (inForce.revision < change.headRevision) {
+        refuse(id, unavailable("head-unreadable", "The head's document cannot be loaded here."));
+        return false;
+    }
+    if (m_state.highestSeen <= change.headRevision) {
+        return true;
+    }
+    if (change.headReread) {
+        refuse(id, unavailable("store-behind", "A peer has a higher revision than the store; repair first."));
+        return false;
+    }
+    // A peer's commit may have come after the first read; a read that begins now must see it.
+    change.headReread = true;
+    readHeadFor(id);
+    return false;
+}
+
+void config_domain::commitRepair(std::uint64_t id)
+{
+    const config_running_change change = changeOf(id);
+    const config_revision highest = std::max(m_state.highestSeen, m_state.inForce->revision);
+    if (highest > m_state.inForce->revision && !change.what.alone) {
+        refuse(id, unavailable("not-highest", "A peer has a higher revision; repair through that one."));
         return;
     }
-    commit(id, applied.document);
+    const config_revision next{std::max(highest, change.headRevision).value + 1};
+    commit(id, carryForward(*m_state.inForce, next, change.what, change.author, m_at.wallNow));
 }
 
 void config_domain::commit(std::uint64_t id, config_document next)
--- a/src/config_domain.h
+++ b/src/config_domain.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jacinthvale {
 
@@ -86,6 +87,8 @@
     void send(const endpoint &target, config_message_kind kind, peer_transport transport);
     void offer(const endpoint &target);
     void probePeers();
+    void tellRandomPeers();
+    std::vector<endpoint> pickPeers(std::size_t count, bool withSeeds);
     void pushToUnconfirmed();
     void forgetPeers();
     void answerConfirmed();
@@ -98,7 +101,10 @@
     void onChangeLookedUp(std::uint64_t id, const store_rows &found);
     void onChangeHead(std::uint64_t id, const store_rows &found);
     void onChangeBase(std::uint64_t id, const store_rows &found);
+    void readHeadFor(std::uint64_t id);
     void applyAndCommit(std::uint64_t id);
+    bool baseStillHolds(std::uint64_t id);
+    void commitRepair(std::uint64_t id);
     void commit(std::uint64_t id, config_document next);
     void onCommitEnded(std::uint64_t id, const store_outcome &outcome);
     void onCommitConflict(std::uint64_t id, const store_conflict &conflict);
--- a/src/config_spread.cpp
+++ b/src/config_spread.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <set>
 #include <vector>
 
 namespace jacinthvale {
@@ -11,6 +12,8 @@
 
 /// Peers asked at once while none has been heard lately.
 constexpr std::size_t kUrgentProbes = 3;
+/// Peers told at once that a new revision is in force here.
+constexpr std::size_t kToldPeers = 3;
 
 } // namespace
 
@@ -143,22 +146,39 @@
     const bool urgent
             = m_at.now - m_state.peerHeardAt > kPeerProbePeriod || !m_state.peerHeard || !m_state.hasDocument;
     m_state.nextProbe = m_at.now + (urgent ? kUrgentProbePeriod : kPeerProbePeriod);
-    std::vector<endpoint> targets;
+    for (const endpoint &target : pickPeers(urgent ? kUrgentProbes : 1, urgent)) {
+        send(target, config_message_kind::ask, peer_transport::datagram);
+    }
+}
+
+/// Whoever is behind asks for the document, so a revision spreads although the daemon that made it is gone.
+void config_domain::tellRandomPeers()
+{
+    for (const endpoint &target : pickPeers(kToldPeers, false)) {
+        send(target, config_message_kind::state, peer_transport::datagram);
+    }
+}
+
+/// @returns distinct random alive peers; the seeds, too, where asked for or where no peer is known.
+std::vector<endpoint> config_domain::pickPeers(std::size_t count, bool withSeeds)
+{
+    std::set<endpoint> known;
     for (const auto &[where, peer] : m_state.peers) {
         if (peer.alive) {
-            targets.push_back(where);
+            known.insert(where);
         }
     }
-    if (targets.empty() || urgent) {
-        std::ranges::copy_if(m_state.self.seeds, std::back_inserter(targets),
-                             [&](const endpoint &seed) { return seed != m_state.self.peer; });
+    if (known.empty() || withSeeds) {
+        known.insert(m_state.self.seeds.begin(), m_state.self.seeds.end());
+        known.erase(m_state.self.peer);
     }
-    const std::size_t count = std::min(targets.size(), urgent ? kUrgentProbes : std::size_t{1});
+    std::vector<endpoint> targets(known.begin(), known.end());
+    count = std::min(count, targets.size());
     for (std::size_t i = 0; i < count; ++i) {
-        const std::size_t pick = i + draw() % (targets.size() - i);
-        std::swap(targets[i], targets[pick]);
-        send(targets[i], config_message_kind::ask, peer_transport::datagram);
+        std::swap(targets[i], targets[i + draw() % (targets.size() - i)]);
     }
+    targets.resize(count);
+    return targets;
 }
 
 bool config_domain::hasUnconfirmedPeers(config_revision revision) const
--- a/src/config_take.cpp
+++ b/src/config_take.cpp
@@ -138,6 +138,7 @@
     m_out.emplace_back(count_metric{absl::StrCat("config_taken_total{source=\"", source, "\"}"), 1});
     record("config-in-force", document.changeId,
            absl::StrCat("revision ", document.revision.value, " from ", source));
+    tellRandomPeers();
 }
 
 /// Waits for both sides, the store and a peer, but no longer than kStartGrace once one has given a document.
