--- a/src/ctl_commands.cpp
+++ b/src/ctl_commands.cpp
@@ -61,7 +61,8 @@
 std::string renderDocument(const json &document)
 {
     std::vector<table_row> rows;
-    for (const auto &item : document.value("defaults", json::object()).items()) {
+    const json defaults = document.value("defaults", json::object());
+    for (const auto &item : defaults.items()) {
         rows.push_back({item.key(), "default", plain(item.value()), ""});
     }
     for (const json &rule : document.value("exceptions", json::array())) {
--- a/src/ctl_output.cpp
+++ b/src/ctl_output.cpp
@@ -34,7 +34,8 @@
 std::map<std::string, std::string> rulesOf(const json &document)
 {
     std::map<std::string, std::string> rules;
-    for (const auto &item : document.value("defaults", json::object()).items()) {
+    const json defaults = document.value("defaults", json::object());
+    for (const auto &item : defaults.items()) {
         rules[item.key()] = plain(item.value());
     }
     for (const json &rule : document.value("exceptions", json::array())) {
