--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -67,6 +67,7 @@
     void begin(const http_request_received &request, const std::string &name)
     {
         const int runs = ++m_runs[name];
+        ++m_bodies[request.body];
         ++m_totalRuns;
         m_pool.finishLater([this, request, runs] {
             m_loop.reply(request.exchange, kHttpOk,
@@ -81,6 +82,7 @@
     {
         answer = {{"totalRuns", m_totalRuns},
                   {"runs", m_runs},
+                  {"bodies", m_bodies},
                   {"arrivalsWhileLeaving", m_arrivalsWhileLeaving},
                   {"refused", m_pool.refused()}};
         return kHttpOk;
@@ -88,7 +90,9 @@
 
     service_loop m_loop;
     worker_pool m_pool;
+    /// By idempotency key, or by body where there is none.
     std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_bodies;
     int m_totalRuns = 0;
     int m_arrivalsWhileLeaving = 0;
     bool m_leaving = false;
