Membership: gossip of observations and leaving marks, config revision in every message

Cause: status calls to every upstream by every daemon do not scale, and a lagging host list could undo leaving. Ruled out: each daemon's own polls (350 x 600); a leaving flag inside the observation, which a later one could drop. Change: the holder's observations spread by UDP gossip, ordered by lease epoch and sequence, each fact passed on a limited number of times in datagrams within kMaxDatagramPayload; leaving is a grow-only set of (upstream, incarnation) that goes before every other source. Own status calls remain only where no holder has told for 10 s. Messages carry the config revision, the stop flag and two peers that were heard lately. Found by the mutation property: a bool from the wire with a value other than 0 or 1 (undefined behaviour, caught by the sanitizer). Flags travel as a checked byte now. Seen to fail: marks not applied to serving views: leavingIsNeverUndoneForAnIncarnation and leavingReachesEveryDaemonInThreeSecondsAlthoughTheListLags; order of observations out: factsDoNotDependOnTheOrderOfMessages and oldObservationDoesNotReplaceANewIncarnation. Partial: no probes, suspicion or refutation; peers' death comes from the list alone. Bytes and CPU not measured.

--- a/include/jacinthvale/membership.h
+++ b/include/jacinthvale/membership.h
@@ -3,6 +3,7 @@
 
 #include <jacinthvale/effect.h>
 #include <jacinthvale/event.h>
+#include <jacinthvale/gossip.h>
 #include <jacinthvale/identity.h>
 
 #include <map>
@@ -62,6 +63,11 @@
     upstream_view view;
     /// Successful polls in a row that did not list it.
     int missedPolls = 0;
+    /// Last own status or observation by the holder of its shard.
+    instant lastObserved{};
+    /// What was last spread, and when: small changes of load are not.
+    std::optional<upstream_observed> lastSpread;
+    instant lastSpreadAt{};
     /// Own status call, if one is running.
     std::optional<operation_id> statusCall;
     instant nextStatus{};
@@ -72,6 +78,8 @@
 {
     peer_view view;
     int missedPolls = 0;
+    /// When it last sent a message itself.
+    instant heardAt{};
 };
 
 /// Names a daemon: its host and its role there.
@@ -91,6 +99,10 @@
     host_list_poll hostList;
     std::map<upstream_id, known_upstream> upstreams;
     std::map<peer_key, known_peer> peers;
+    gossip_facts facts;
+    config_revision revision;
+    bool stopping = false;
+    instant nextGossip{};
 };
 
 /// Handles one event of the membership domain.
--- /dev/null
+++ b/src/gossip_codec.cpp
@@ -0,0 +1,104 @@
+#include <jacinthvale/gossip.h>
+#include <jacinthvale/wire.h>
+
+#include <algorithm>
+
+namespace jacinthvale {
+
+namespace {
+
+constexpr std::uint8_t kGossipVersion = 1;
+constexpr std::size_t kMaxModels = 64;
+
+/// Carries a flag as one byte that must be 0 or 1.
+template <typename Archive>
+void archiveFlag(Archive &archive, bool &flag)
+{
+    std::uint8_t byte = flag ? 1 : 0;
+    archive(byte);
+    if (byte > 1) {
+        throw cereal::Exception("flag is neither 0 nor 1");
+    }
+    flag = byte == 1;
+}
+
+} // namespace
+
+template <typename Archive>
+void serialize(Archive &archive, model_weights &weights)
+{
+    archive(weights.model, weights.version);
+    archiveFlag(archive, weights.clear);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, leaving_mark &mark)
+{
+    archive(mark.upstream, mark.incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, upstream_observed &seen)
+{
+    archive(seen.upstream, seen.incarnation, seen.order.epoch, seen.order.sequence, seen.models, seen.running,
+            seen.queued);
+    archiveFlag(archive, seen.reachable);
+    archiveFlag(archive, seen.leaving);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, peer_contact &contact)
+{
+    archive(contact.host, contact.role, contact.incarnation, contact.http, contact.peer,
+            contact.availabilityZone);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, gossip_header &header)
+{
+    archive(header.role, header.availabilityZone, header.http, header.revision);
+    archiveFlag(archive, header.stopping);
+}
+
+namespace {
+
+/// A message with the version of its layout in front.
+struct wire_gossip
+{
+    std::uint8_t version = kGossipVersion;
+    gossip_message content;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version);
+        if (version != kGossipVersion) {
+            throw cereal::Exception("unknown gossip version");
+        }
+        archive(content.header, content.contacts, content.marks, content.reports);
+    }
+};
+
+} // namespace
+
+std::string encodeGossip(const gossip_message &message)
+{
+    return encodeWire(wire_gossip{kGossipVersion, message});
+}
+
+absl::StatusOr<gossip_message> decodeGossip(const std::string &payload)
+{
+    absl::StatusOr<wire_gossip> wire = decodeWire<wire_gossip>(payload);
+    if (!wire.ok()) {
+        return wire.status();
+    }
+    const bool valid = std::ranges::all_of(wire->content.reports, [](const upstream_observed &seen) {
+        return seen.models.size() <= kMaxModels && seen.running >= 0 && seen.queued >= 0;
+    });
+    if (!valid) {
+        return absl::InvalidArgumentError("observation is out of range");
+    }
+    return std::move(wire->content);
+}
+
+} // namespace jacinthvale
--- a/src/membership_reduce.cpp
+++ b/src/membership_reduce.cpp
@@ -1,3 +1,4 @@
+#include <jacinthvale/config.h>
 #include <jacinthvale/membership.h>
 
 #include "jitter.h"
@@ -14,6 +15,16 @@
 constexpr milliseconds kHostListPeriod{3000};
 constexpr milliseconds kHostListRetry{500};
 constexpr milliseconds kHostListTimeout{2000};
+constexpr milliseconds kGossipPeriod{500};
+/// Peers that one message goes to.
+constexpr std::size_t kGossipReceivers = 3;
+/// Peers that one message tells of.
+constexpr std::size_t kGossipContacts = 2;
+/// Age from which an observation by a holder is no longer relied upon.
+constexpr milliseconds kObservationLife{10'000};
+/// A load that changed little is spread again after this time.
+constexpr milliseconds kLoadSpreadPeriod{5000};
+constexpr int kLoadChangeSpread = 4;
 constexpr milliseconds kStatusPeriod{1000};
 constexpr milliseconds kStatusTimeout{2000};
 /// Successful polls without an entry after which it counts as gone.
@@ -46,6 +57,7 @@
                            [&](const process_started &) { pollHostList(); },
                            [&](const tick &) { onTick(); },
                            [&](const http_call_finished &e) { onCallFinished(e); },
+                           [&](const peer_message_received &e) { onGossip(e); },
                            [&](const notice_raised &e) { onNotice(e.what); },
                            [](const auto &) {},
                    },
@@ -80,11 +92,17 @@
             pollHostList();
         }
         for (auto &[id, known] : m_state.upstreams) {
-            if (!known.statusCall && m_at.now >= known.nextStatus) {
+            // Own status calls only where no holder of a shard tells of the upstream.
+            const bool watched
+                    = m_state.facts.find(id) != nullptr && m_at.now < known.lastObserved + kObservationLife;
+            if (!watched && !known.statusCall && m_at.now >= known.nextStatus) {
                 known.statusCall = nextOperation();
                 get(*known.statusCall, known.listed.http, "/status", kStatusTimeout);
             }
         }
+        if (m_at.now >= m_state.nextGossip || m_state.facts.hasNews()) {
+            sendGossip();
+        }
     }
 
     void onCallFinished(const http_call_finished &result)
@@ -138,7 +156,12 @@
         view.peer = host.peer;
         view.availabilityZone = host.availabilityZone;
         view.alive = true;
-        view.stopping = host.leaving;
+        const bool sameProcess = known.view.incarnation == host.incarnation;
+        view.stopping = host.leaving || (sameProcess && known.view.stopping);
+        // What a peer says of itself is newer than the list.
+        if (isHeard(known) && !sameProcess) {
+            return;
+        }
         if (view != known.view) {
             known.view = view;
             m_effects.emplace_back(raise_notice{peer_changed{view}});
@@ -151,50 +174,234 @@
         known.listed = host;
         known.missedPolls = 0;
         upstream_view view = known.view;
-        if (view.incarnation != host.incarnation) {
-            view.condition = upstream_condition::serving;
-        }
         view.id = {host.host};
         view.kind = kindOf(host.role);
         view.service = {host.service};
         view.address = host.http;
         view.availabilityZone = host.availabilityZone;
-        view.incarnation = host.incarnation;
         view.checksFencing = host.checksFencing;
+        const bool observed
+                = m_at.now < known.lastObserved + kObservationLife && known.lastObserved != instant{};
+        if (!observed) {
+            // A first or long unobserved entry: the list is all there is.
+            view.condition
+                    = view.incarnation == host.incarnation ? view.condition : upstream_condition::serving;
+            view.incarnation = host.incarnation;
+        }
         if (host.leaving) {
-            view.condition = upstream_condition::leaving;
+            m_state.facts.merge(leaving_mark{view.id, host.incarnation});
+        }
+        publish(known, view);
+    }
+
+    /// Takes in what the holder of the upstream's shard saw, here or through a peer.
+    void takeReport(const upstream_observed &seen)
+    {
+        const auto found = m_state.upstreams.find(seen.upstream);
+        if (found == m_state.upstreams.end() || !m_state.facts.merge(seen)) {
+            return;
         }
+        known_upstream &known = found->second;
+        upstream_view view = known.view;
+        view.incarnation = seen.incarnation;
+        view.condition = seen.reachable ? upstream_condition::serving : upstream_condition::down;
+        view.models = seen.models;
+        view.running = seen.running;
+        view.queued = seen.queued;
+        view.reportedAt = m_at.now;
+        known.lastObserved = m_at.now;
         publish(known, view);
     }
 
-    void publish(known_upstream &known, const upstream_view &view)
+    /// Takes in an own holder's observation; one that says little new is not spread.
+    void takeOwnObservation(const upstream_observed &seen)
+    {
+        const auto found = m_state.upstreams.find(seen.upstream);
+        if (found == m_state.upstreams.end()) {
+            return;
+        }
+        known_upstream &known = found->second;
+        if (m_at.now < known.lastSpreadAt + kLoadSpreadPeriod && saysLittleNew(known.lastSpread, seen)) {
+            return;
+        }
+        known.lastSpread = seen;
+        known.lastSpreadAt = m_at.now;
+        takeReport(seen);
+    }
+
+    static bool saysLittleNew(const std::optional<upstream_observed> &before, const upstream_observed &seen)
     {
+        return before && before->incarnation == seen.incarnation && before->reachable == seen.reachable
+               && before->leaving == seen.leaving && before->models == seen.models
+               && std::abs(before->running + before->queued - seen.running - seen.queued) < kLoadChangeSpread;
+    }
+
+    void takeMark(const leaving_mark &mark)
+    {
+        if (!m_state.facts.merge(mark)) {
+            return;
+        }
+        if (const auto found = m_state.upstreams.find(mark.upstream); found != m_state.upstreams.end()) {
+            publish(found->second, found->second.view);
+        }
+    }
+
+    std::vector<endpoint> chooseReceivers() const
+    {
+        std::vector<endpoint> all;
+        for (const auto &[key, known] : m_state.peers) {
+            all.push_back(known.view.peer);
+        }
+        const bool haveSeeds = !m_state.self.seeds.empty();
+        if (all.empty() && haveSeeds) {
+            all = m_state.self.seeds;
+        }
+        std::vector<endpoint> chosen;
+        for (std::size_t i = 0; i < kGossipReceivers && !all.empty(); ++i) {
+            const auto at = static_cast<std::ptrdiff_t>(mixRandom(m_at.random, i) % all.size());
+            chosen.push_back(all[static_cast<std::size_t>(at)]);
+            all.erase(all.begin() + at);
+        }
+        return chosen;
+    }
+
+    /// @returns a few peers that were heard from lately, so that others learn of them.
+    std::vector<peer_contact> chooseContacts() const
+    {
+        std::vector<peer_contact> all;
+        for (const auto &[key, known] : m_state.peers) {
+            const peer_view &view = known.view;
+            if (isHeard(known) && !view.stopping) {
+                all.push_back({view.host, view.role, view.incarnation, view.http, view.peer,
+                               view.availabilityZone});
+            }
+        }
+        std::vector<peer_contact> chosen;
+        for (std::size_t i = 0; i < kGossipContacts && !all.empty(); ++i) {
+            chosen.push_back(all[mixRandom(m_at.random, kGossipReceivers + i) % all.size()]);
+        }
+        return chosen;
+    }
+
+    bool isHeard(const known_peer &known) const
+    {
+        return known.heardAt != instant{} && m_at.now < known.heardAt + kObservationLife;
+    }
+
+    /// Learns of a daemon that nothing was known of.
+    void takeContact(const peer_contact &contact)
+    {
+        const peer_key key{contact.host, contact.role};
+        const bool valid = isDaemonRole(contact.role) && !contact.peer.empty();
+        if (!valid || contact.incarnation == m_state.self.incarnation || m_state.peers.contains(key)) {
+            return;
+        }
+        known_peer &known = m_state.peers[key];
+        known.view.host = contact.host;
+        known.view.role = contact.role;
+        known.view.incarnation = contact.incarnation;
+        known.view.http = contact.http;
+        known.view.peer = contact.peer;
+        known.view.availabilityZone = contact.availabilityZone;
+        m_effects.emplace_back(raise_notice{peer_changed{known.view}});
+    }
+
+    void sendGossip()
+    {
+        m_state.nextGossip = m_at.now + kGossipPeriod;
+        const std::vector<endpoint> receivers = chooseReceivers();
+        if (receivers.empty()) {
+            return;
+        }
+        const process_identity &self = m_state.self;
+        const gossip_header header{std::string(toString(self.role)), self.availabilityZone, self.http,
+                                   m_state.revision, m_state.stopping};
+        const std::string payload
+                = encodeGossip(m_state.facts.pack(header, chooseContacts(), receivers.size()));
+        for (const endpoint &target : receivers) {
+            m_effects.emplace_back(send_peer{target, peer_transport::datagram, domain::membership, payload});
+        }
+    }
+
+    void onGossip(const peer_message_received &message)
+    {
+        const absl::StatusOr<gossip_message> gossip = decodeGossip(message.payload);
+        if (!gossip.ok() || !isDaemonRole(gossip->header.role)) {
+            m_effects.emplace_back(count_metric{"membership_messages_malformed_total", 1});
+            return;
+        }
+        hearPeer(message, gossip->header);
+        for (const peer_contact &contact : gossip->contacts) {
+            takeContact(contact);
+        }
+        for (const leaving_mark &mark : gossip->marks) {
+            takeMark(mark);
+        }
+        for (const upstream_observed &seen : gossip->reports) {
+            takeReport(seen);
+        }
+    }
+
+    void hearPeer(const peer_message_received &message, const gossip_header &header)
+    {
+        if (message.senderIncarnation == m_state.self.incarnation) {
+            return;
+        }
+        known_peer &known = m_state.peers[{message.sender, header.role}];
+        peer_view view = known.view;
+        const bool sameProcess = view.incarnation == message.senderIncarnation;
+        view.host = message.sender;
+        view.role = header.role;
+        view.incarnation = message.senderIncarnation;
+        view.http = header.http;
+        view.peer = message.replyTo;
+        view.availabilityZone = header.availabilityZone;
+        view.alive = true;
+        view.stopping = header.stopping || (sameProcess && view.stopping);
+        view.revision = sameProcess ? std::max(view.revision, header.revision) : header.revision;
+        known.missedPolls = 0;
+        known.heardAt = m_at.now;
+        if (view != known.view) {
+            known.view = view;
+            m_effects.emplace_back(raise_notice{peer_changed{view}});
+        }
+    }
+
+    /// Tells a changed view. A leaving mark of the incarnation goes before everything else.
+    void publish(known_upstream &known, upstream_view view)
+    {
+        if (m_state.facts.isLeaving(view.id, view.incarnation)) {
+            view.condition = upstream_condition::leaving;
+        }
         if (view != known.view) {
             known.view = view;
             m_effects.emplace_back(raise_notice{upstream_changed{view, false}});
         }
     }
 
+    /// Takes in an own status call; it does not count against the holder's word.
     void onStatus(known_upstream &known, const std::optional<upstream_status> &status)
     {
         known.statusCall.reset();
         known.nextStatus = m_at.now + jittered(kStatusPeriod, m_at.random);
-        upstream_view view = known.view;
-        if (!status) {
-            view.condition = view.condition == upstream_condition::leaving ? upstream_condition::leaving
-                                                                           : upstream_condition::down;
-            publish(known, view);
+        const bool watched = m_state.facts.find(known.view.id) != nullptr
+                             && m_at.now < known.lastObserved + kObservationLife;
+        if (watched) {
             return;
         }
-        const bool sticky
-                = view.condition == upstream_condition::leaving && view.incarnation == status->incarnation;
-        view.incarnation = status->incarnation;
-        view.condition
-                = sticky || status->leaving ? upstream_condition::leaving : upstream_condition::serving;
-        view.models = status->models;
-        view.running = status->running;
-        view.queued = status->queued;
-        view.reportedAt = m_at.now;
+        upstream_view view = known.view;
+        view.condition = status ? upstream_condition::serving : upstream_condition::down;
+        if (status) {
+            view.incarnation = status->incarnation;
+            view.models = status->models;
+            view.running = status->running;
+            view.queued = status->queued;
+            view.reportedAt = m_at.now;
+            known.lastObserved = m_at.now;
+        }
+        if (status && status->leaving) {
+            m_state.facts.merge(leaving_mark{view.id, status->incarnation});
+        }
         publish(known, view);
     }
 
@@ -202,9 +409,7 @@
     {
         const auto found = m_state.upstreams.find(upstream);
         if (found != m_state.upstreams.end()) {
-            upstream_view view = found->second.view;
-            view.condition = upstream_condition::leaving;
-            publish(found->second, view);
+            takeMark({upstream, found->second.view.incarnation});
         }
     }
 
@@ -228,11 +433,22 @@
 
     void onNotice(const notice &what)
     {
-        if (const auto *drain = std::get_if<drain_requested>(&what)) {
-            markLeaving(drain->upstream);
-        } else if (std::holds_alternative<stopping>(what)) {
-            m_effects.emplace_back(raise_notice{domain_drained{domain::membership}});
-        }
+        std::visit(overloaded{
+                           [&](const drain_requested &e) { markLeaving(e.upstream); },
+                           [&](const upstream_observed &e) { takeOwnObservation(e); },
+                           [&](const config_in_force &e) { m_state.revision = e.document->revision; },
+                           [&](const stopping &) { onStopping(); },
+                           [](const auto &) {},
+                   },
+                   what);
+    }
+
+    /// Tells every peer of the stop at once; it is not needed for a clean end.
+    void onStopping()
+    {
+        m_state.stopping = true;
+        sendGossip();
+        m_effects.emplace_back(raise_notice{domain_drained{domain::membership}});
     }
 
     membership_state &m_state;
