--- a/include/jacinthvale/claims.h
+++ b/include/jacinthvale/claims.h
@@ -57,8 +57,9 @@
 /// @returns the key of the row for an idempotency key of one service or model.
 std::string claimRowKey(const std::string &target, const std::string &idempotencyKey);
 
-/// Gathers writes of many claims into few transactions. At most kMaxTransactions are on their way; what comes
-/// meanwhile shares the next one. A conflict of one write does not fail the others: they are sent again.
+/// Gathers writes of many claims into few transactions. What comes while one is on its way shares the next
+/// one, which waits for it unless kEagerWrites have come or the caller says that it has waited long enough. A
+/// conflict of one write does not fail the others: they are sent again.
 class claim_batcher
 {
 public:
@@ -87,14 +88,17 @@
         outcome how;
     };
 
-    static constexpr std::size_t kMaxTransactions = 2;
+    static constexpr std::size_t kMaxTransactions = 4;
     static constexpr std::size_t kMaxWritesPerTransaction = 200;
+    static constexpr std::size_t kEagerWrites = 32;
 
     /// Queues a write. No other write of the same row may be on its way.
     void add(store_write write) { m_waiting.push_back(std::move(write)); }
 
+    /// @param overdue do not wait for a transaction that is on its way
     /// @returns the next transaction to send under this operation number, if one is due.
-    std::optional<store_transact> next(std::uint64_t operation, const std::string &writeId);
+    std::optional<store_transact> next(std::uint64_t operation, const std::string &writeId,
+                                       bool overdue = false);
 
     /// Takes in how a transaction ended.
     /// @returns the writes that are decided; the others wait for the next transaction.
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -6,9 +6,11 @@
 
 namespace jacinthvale {
 
-std::optional<store_transact> claim_batcher::next(std::uint64_t operation, const std::string &writeId)
+std::optional<store_transact> claim_batcher::next(std::uint64_t operation, const std::string &writeId,
+                                                  bool overdue)
 {
-    if (m_waiting.empty() || m_sent.size() >= kMaxTransactions) {
+    const bool due = m_sent.empty() || overdue || m_waiting.size() >= kEagerWrites;
+    if (m_waiting.empty() || !due || m_sent.size() >= kMaxTransactions) {
         return std::nullopt;
     }
     const auto count = static_cast<std::ptrdiff_t>(std::min(m_waiting.size(), kMaxWritesPerTransaction));
--- a/src/requests_keyed.cpp
+++ b/src/requests_keyed.cpp
@@ -262,13 +262,13 @@
     flushLedger(step);
 }
 
-void flushLedger(requests_step &step)
+void flushLedger(requests_step &step, bool overdue)
 {
     for (;;) {
         const std::uint64_t operation = step.state.lastNumber + 1;
         const std::string writeId
                 = absl::StrCat(absl::Hex(step.state.self.incarnation.value), "-", operation);
-        const auto transaction = step.state.ledger.next(operation, writeId);
+        const auto transaction = step.state.ledger.next(operation, writeId, overdue);
         if (!transaction) {
             return;
         }
@@ -314,6 +314,7 @@
 
 void maintainRuns(requests_step &step)
 {
+    flushLedger(step, true);
     for (auto &[name, run] : step.state.runs) {
         if (step.at.now < run.writeAgainAt) {
             continue;
--- a/src/requests_keyed.h
+++ b/src/requests_keyed.h
@@ -24,7 +24,8 @@
 void onLedgerAnswered(requests_step &step, std::uint64_t operation, const store_outcome &how);
 
 /// Sends claim rows that wait.
-void flushLedger(requests_step &step);
+/// @param overdue also where a transaction is on its way that they could wait for
+void flushLedger(requests_step &step, bool overdue = false);
 
 /// Writes again what got no proof, and forgets old runs.
 void maintainRuns(requests_step &step);
--- a/tests/test_requests_policies.cpp
+++ b/tests/test_requests_policies.cpp
@@ -351,7 +351,7 @@
     gate.finish(first, transfer_outcome::broken);
     const call_http second = gate.calls().at(0);
     EXPECT_NE(second.target, first.target);
-    const auto body = nlohmann::json::parse(second.body);
+    auto body = nlohmann::json::parse(second.body);
     EXPECT_EQ(body["resume_text"], "ab");
     EXPECT_EQ(body["resume_tokens"], 2);
 }
--- a/tests/test_requests_state.cpp
+++ b/tests/test_requests_state.cpp
@@ -156,4 +156,26 @@
     RC_ASSERT(sut.world.fault() == "");
 }
 
+TEST(requests_state, dropsAnswersToThePredecessorOfAGate)
+{
+    gate_world world;
+    for (const char *key : {"a", "b"}) {
+        world.submit(0, key, bodyFor(key, 0), "");
+        world.decideStore(0, store_fate::answer);
+    }
+    world.submit(1, "a", bodyFor("a", 0), "");
+    world.decideStore(0, store_fate::answer);
+    world.decideMessage(0, true);
+    world.decideMessage(0, false);
+    world.crash(1);
+    // The new process gives its first call the same number.
+    world.submit(1, "b", bodyFor("b", 0), "");
+    world.decideStore(0, store_fate::answer);
+    ASSERT_EQ(world.state(1).calls.begin()->second.phase, call_phase::awaiting_owner);
+    world.decideCall(0, call_fate::served);
+    world.decideMessage(1, true);
+    EXPECT_EQ(world.fault(), "");
+    EXPECT_FALSE(world.submissions().back().answer);
+}
+
 } // namespace jacinthvale::testing
