--- a/include/jacinthvale/samples.h
+++ b/include/jacinthvale/samples.h
@@ -51,6 +51,8 @@
     instant deadline{};
     /// Number under which this process forwarded it to the holder; 0 while it is here.
     std::uint64_t forwardedAs = 0;
+    /// A transaction or another holder may have carried it out already.
+    bool uncertain = false;
 };
 
 /// A checked request for a group.
@@ -121,6 +123,10 @@
     std::optional<pending_pull> pull;
     std::uint64_t through = 0;
     bool release = false;
+    /// A copy got no answer and may have taken effect: only the same transaction may be sent again.
+    bool uncertain = false;
+    /// When it is sent again; none while a copy is under way.
+    std::optional<instant> resendAt;
 };
 
 /// Samples whose payload is being stored.
--- a/src/samples_calls.cpp
+++ b/src/samples_calls.cpp
@@ -265,9 +265,7 @@
             ++item;
             continue;
         }
-        refuseCall(step, item->call,
-                   {kHttpGatewayTimeout, "outcome-unknown", "The store gave no answer; ask again.",
-                    verdict::may_have_run, 0});
+        refuseCall(step, item->call, outcomeUnknown());
         item->call.origin = local_caller{};
         item->call.deadline = instant::max();
     }
--- a/src/samples_calls.h
+++ b/src/samples_calls.h
@@ -32,7 +32,11 @@
 void abandonCall(samples_step &step, exchange_id exchange);
 
 void answerCall(samples_step &step, const trainer_call &call, int status, const std::string &body);
-void refuseCall(samples_step &step, const trainer_call &call, const request_error &error);
+/// Refuses a request. One that may have been carried out is not called not-run.
+void refuseCall(samples_step &step, const trainer_call &call, const request_error &refusal);
+
+/// Answer to a request that may have been carried out.
+request_error outcomeUnknown();
 
 /// Takes a newer version of the trainer's weights; the head row follows with the next transaction.
 void raiseVersion(samples_step &step, trainer_session &session, weight_version version);
--- a/src/samples_commit.cpp
+++ b/src/samples_commit.cpp
@@ -225,6 +225,16 @@
     queueMissing(step, session);
 }
 
+/// Sends a transaction of unknown outcome again: at most one copy takes effect.
+void resendCommit(samples_step &step, trainer_session &session)
+{
+    if (!session.committing || !session.committing->resendAt || step.at.now < *session.committing->resendAt) {
+        return;
+    }
+    session.committing->resendAt.reset();
+    step.emit(call_store{step.begin(ledger_commit{session.trainer}), session.committing->change.transact});
+}
+
 } // namespace
 
 void pumpSession(samples_step &step, trainer_session &session)
@@ -233,6 +243,7 @@
         return;
     }
     startPut(step, session);
+    resendCommit(step, session);
     startCommit(step, session);
 }
 
@@ -268,13 +279,14 @@
             loseLease(step, session, "handed back");
         }
     } else if (std::holds_alternative<store_unknown>(outcome)) {
-        // The same transaction again: only one copy can take effect.
-        step.emit(
-                call_store{step.begin(ledger_commit{session.trainer}), session.committing->change.transact});
+        session.committing->uncertain = true;
+        session.committing->resendAt = step.at.now;
     } else if (const auto *conflict = std::get_if<store_conflict>(&outcome)) {
         const std::string &writeId = session.committing->change.transact.writeId;
         const auto own = std::ranges::find(conflict->rows, writeId, &store_row::writeId);
         loseLease(step, session, own == conflict->rows.end() ? "head row changed" : "own commit seen late");
+    } else if (session.committing->uncertain) {
+        session.committing->resendAt = step.at.now + kRetryPause;
     } else {
         undoCommit(step, session);
     }
--- a/src/samples_forward.cpp
+++ b/src/samples_forward.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kHttpUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
 constexpr int kMaxForwardWaitMs = 120'000;
 
 /// One answer, before it is known how it travels.
@@ -137,13 +138,21 @@
 
 } // namespace
 
+request_error outcomeUnknown()
+{
+    return {kHttpGatewayTimeout, "outcome-unknown", "The request may have been carried out; ask again.",
+            verdict::may_have_run, 0};
+}
+
 void answerCall(samples_step &step, const trainer_call &call, int status, const std::string &body)
 {
     deliver(step, call.origin, {status, body, "ran", 0, false});
 }
 
-void refuseCall(samples_step &step, const trainer_call &call, const request_error &error)
+void refuseCall(samples_step &step, const trainer_call &call, const request_error &refusal)
 {
+    const bool unproved = call.uncertain && refusal.retryAfterSeconds > 0;
+    const request_error error = unproved ? outcomeUnknown() : refusal;
     deliver(step, call.origin,
             {error.httpStatus, toJson(error), std::string(toString(error.outcome)), error.retryAfterSeconds,
              false});
--- a/src/samples_lease.cpp
+++ b/src/samples_lease.cpp
@@ -135,6 +135,7 @@
             ++entry;
             continue;
         }
+        entry->second.uncertain = true;
         session.waiting.push_back(std::move(entry->second));
         entry = forwarded.erase(entry);
     }
@@ -145,9 +146,13 @@
 void keepRequests(trainer_session &session)
 {
     const auto keep = [&](trainer_call &call) { session.waiting.push_back(std::move(call)); };
+    const auto keepSent = [&](trainer_call &call) {
+        call.uncertain = call.uncertain || session.committing->uncertain;
+        keep(call);
+    };
     if (session.committing) {
-        std::ranges::for_each(session.committing->groups, keep, &pending_group::call);
-        std::ranges::for_each(session.committing->versions, keep, &pending_version::call);
+        std::ranges::for_each(session.committing->groups, keepSent, &pending_group::call);
+        std::ranges::for_each(session.committing->versions, keepSent, &pending_version::call);
         if (session.committing->pull) {
             keep(session.committing->pull->call);
         }
--- a/tests/standins/samples_world.cpp
+++ b/tests/standins/samples_world.cpp
@@ -501,6 +501,8 @@
         if (reply.status == kHttpOk) {
             const nlohmann::json group = nlohmann::json::parse(posted->second);
             m_trainer.accepted[group.at("groupId")] = group.at("count");
+        } else if (reply.headers.at("Jacinthvale-Verdict") == "not-run") {
+            m_trainer.refused.push_back(nlohmann::json::parse(posted->second).at("groupId"));
         }
         m_trainer.posted.erase(posted);
     }
@@ -571,6 +573,16 @@
     }
 }
 
+/// A group that was refused as not run was not accepted.
+void samples_world::checkRefused()
+{
+    for (const std::string &id : m_trainer.refused) {
+        if (m_store.rows().contains(groupPrefix({kTrainer}) + id)) {
+            m_broken.push_back("refused as not run, and accepted: " + id);
+        }
+    }
+}
+
 bool samples_world::heal()
 {
     constexpr int kMaxRounds = 400;
@@ -596,6 +608,7 @@
         const bool all = std::ranges::all_of(
                 m_trainer.accepted, [&](const auto &group) { return whole[group.first] == group.second; });
         if (all && m_trainer.posted.empty()) {
+            checkRefused();
             return true;
         }
         if (round % 20 == 19) {
--- a/tests/standins/samples_world.h
+++ b/tests/standins/samples_world.h
@@ -91,6 +91,8 @@
     std::map<std::uint64_t, taken_entry> taken;
     /// Accepted groups and their counts.
     std::map<std::string, std::int64_t> accepted;
+    /// Groups that were refused as not run.
+    std::vector<std::string> refused;
     std::map<std::uint64_t, std::string> posted;
 };
 
@@ -148,6 +150,7 @@
     void startCall(std::size_t which, const call_http &call);
     void announceEngine(const fake_engine &engine);
     void takeReply(std::size_t which, const reply_http &reply);
+    void checkRefused();
     void checkCommit(const store_transact &what);
     void checkKnownVersion(std::size_t which, const nlohmann::json &body);
     void takeSamples(const nlohmann::json &body);
--- a/tests/test_samples_process.cpp
+++ b/tests/test_samples_process.cpp
@@ -215,7 +215,7 @@
     EXPECT_TRUE(waitUntil([&] {
         const json status = processes.status(processes.rollout(holder));
         return status.value("/samples/trainers/trainer-0/uncommitted"_json_pointer, 0) > 4;
-    }));
+    })) << processes.status(processes.rollout(holder)).dump();
     ASSERT_TRUE(processes.fault(processes.platform(), {{"kind", "outage"}, {"on", false}}));
     expectWhole(trainer);
 }
