State test of samples: fix a dangling loop range in the world's commit check

Cause: the sanitizer build aborted in the world's checkCommit (range-for over a member of a temporary); without sanitizers the check saw nothing, so a missing check at commit was not noticed.

--- a/tests/standins/samples_world.cpp
+++ b/tests/standins/samples_world.cpp
@@ -304,7 +304,8 @@
         if (!write.key.starts_with("rollout/sequence/") || write.expectedVersion != 0) {
             continue;
         }
-        for (const nlohmann::json &segment : nlohmann::json::parse(write.value).at("segments")) {
+        const nlohmann::json entry = nlohmann::json::parse(write.value);
+        for (const nlohmann::json &segment : entry.at("segments")) {
             if (segment.at(0).get<std::uint64_t>() + kBound < version) {
                 m_broken.push_back("committed over the bound: " + write.value);
             }
