jvbench: free pending timers; the fleet script asks each process to stop once

Cause: a run ended with timers pending, which LeakSanitizer reported; a daemon that got SIGTERM twice ended with signal 15 instead of exit code 0, since the second one came after its event loop was over. Change: the loop owns its pending actions; one SIGTERM a process.

--- a/scripts/run_fleet.py
+++ b/scripts/run_fleet.py
@@ -78,10 +78,12 @@
     def http(self):
         return self.addresses["http"]
 
-    def stop(self):
-        """Returns the exit code after SIGTERM; a process that does not end is killed."""
+    def request_stop(self):
         if self.child.poll() is None:
             self.child.send_signal(signal.SIGTERM)
+
+    def wait(self):
+        """Returns the exit code; a process that does not end is killed."""
         try:
             return self.child.wait(STOP_LIMIT_S)
         except subprocess.TimeoutExpired:
@@ -199,11 +201,17 @@
         """Stops daemons first, then the rest. Returns the names of daemons that did not stop gracefully."""
         daemons = self.of(*DAEMON_ROLES)
         for process in daemons:
-            if process.child.poll() is None:
-                process.child.send_signal(signal.SIGTERM)
-        ungraceful = [p.name for p in daemons if p.stop() != 0]
+            process.request_stop()
+        ungraceful = []
+        for process in daemons:
+            code = process.wait()
+            if code != 0:
+                ungraceful.append(f"{process.name} (exit code {code})")
+                print(process.output.read_text()[-2000:], flush=True)
+        for process in self.processes:
+            process.request_stop()
         for process in self.processes:
-            process.stop()
+            process.wait()
         return ungraceful
 
 
--- a/src/bench_loop.cpp
+++ b/src/bench_loop.cpp
@@ -11,12 +11,6 @@
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr std::size_t kMaxIdlePerTarget = 1024;
 
-void fire(evutil_socket_t, short, void *argument)
-{
-    const std::unique_ptr<std::function<void()>> action(static_cast<std::function<void()> *>(argument));
-    (*action)();
-}
-
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -26,6 +20,14 @@
 
 } // namespace
 
+struct bench_loop::pending_action
+{
+    bench_loop *owner = nullptr;
+    std::list<pending_action>::iterator self;
+    ::event *timer = nullptr;
+    std::function<void()> action;
+};
+
 bench_loop::bench_loop()
     : m_base(event_base_new())
     , m_client(std::make_unique<http_client>(m_base, clientLimits()))
@@ -35,6 +37,7 @@
 bench_loop::~bench_loop()
 {
     m_client.reset();
+    std::ranges::for_each(m_pending, [](const pending_action &one) { event_free(one.timer); });
     event_base_free(m_base);
 }
 
@@ -49,9 +52,13 @@
     return milliseconds{nowMicroseconds() / kMicrosecondsPerMillisecond};
 }
 
-void bench_loop::arm(const timeval &delay, std::function<void()> action)
+void bench_loop::fire(int, short, void *argument)
 {
-    event_base_once(m_base, -1, EV_TIMEOUT, fire, new std::function<void()>(std::move(action)), &delay);
+    auto *pending = static_cast<pending_action *>(argument);
+    const std::function<void()> action = std::move(pending->action);
+    event_free(pending->timer);
+    pending->owner->m_pending.erase(pending->self);
+    action();
 }
 
 void bench_loop::after(milliseconds delay, std::function<void()> action)
@@ -62,7 +69,11 @@
 void bench_loop::at(std::int64_t microseconds, std::function<void()> action)
 {
     const std::int64_t delay = std::max<std::int64_t>(microseconds - nowMicroseconds(), 0);
-    arm({delay / kMicrosecondsPerSecond, delay % kMicrosecondsPerSecond}, std::move(action));
+    const timeval interval{delay / kMicrosecondsPerSecond, delay % kMicrosecondsPerSecond};
+    pending_action &pending = m_pending.emplace_front();
+    pending = {this, m_pending.begin(), nullptr, std::move(action)};
+    pending.timer = evtimer_new(m_base, &bench_loop::fire, &pending);
+    evtimer_add(pending.timer, &interval);
 }
 
 void bench_loop::run()
--- a/src/bench_loop.h
+++ b/src/bench_loop.h
@@ -37,11 +37,14 @@
     void stop();
 
 private:
-    void arm(const timeval &delay, std::function<void()> action);
+    struct pending_action;
+
+    static void fire(int, short, void *argument);
 
     event_base *m_base;
     std::unique_ptr<http_client> m_client;
     std::chrono::steady_clock::time_point m_start;
+    std::list<pending_action> m_pending;
 };
 
 } // namespace jacinthvale::bench
