Wire: a flag is one checked byte everywhere

Cause: a mutated message could load a bool that is neither 0 nor 1, which is undefined behaviour; the mutation test of gossip caught it there, and two other messages had the same hole. Change: serializeFlag() in wire.h serves all three; a test damages the byte.

--- a/include/jacinthvale/wire.h
+++ b/include/jacinthvale/wire.h
@@ -36,6 +36,18 @@
     archive(where.address, where.port);
 }
 
+/// Reads or writes a flag as one byte that is 0 or 1. Any other byte in a bool would be undefined behaviour.
+template <typename Archive>
+void serializeFlag(Archive &archive, bool &flag)
+{
+    std::uint8_t byte = flag ? 1 : 0;
+    archive(byte);
+    if (byte > 1) {
+        throw cereal::Exception("flag is neither 0 nor 1");
+    }
+    flag = byte == 1;
+}
+
 /// @returns the portable binary encoding of a message.
 template <typename Message>
 std::string encodeWire(const Message &message)
--- a/src/config_message.h
+++ b/src/config_message.h
@@ -31,7 +31,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, name, hasDocument, revision, hash, document);
+        archive(kind, name, revision, hash, document);
+        serializeFlag(archive, hasDocument);
     }
 };
 
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -10,25 +10,13 @@
 constexpr std::uint8_t kGossipVersion = 1;
 constexpr std::size_t kMaxModels = 64;
 
-/// Carries a flag as one byte that must be 0 or 1.
-template <typename Archive>
-void archiveFlag(Archive &archive, bool &flag)
-{
-    std::uint8_t byte = flag ? 1 : 0;
-    archive(byte);
-    if (byte > 1) {
-        throw cereal::Exception("flag is neither 0 nor 1");
-    }
-    flag = byte == 1;
-}
-
 } // namespace
 
 template <typename Archive>
 void serialize(Archive &archive, model_weights &weights)
 {
     archive(weights.model, weights.version);
-    archiveFlag(archive, weights.clear);
+    serializeFlag(archive, weights.clear);
 }
 
 template <typename Archive>
@@ -42,8 +30,8 @@
 {
     archive(seen.upstream, seen.incarnation, seen.order.epoch, seen.order.sequence, seen.models, seen.running,
             seen.queued);
-    archiveFlag(archive, seen.reachable);
-    archiveFlag(archive, seen.leaving);
+    serializeFlag(archive, seen.reachable);
+    serializeFlag(archive, seen.leaving);
 }
 
 template <typename Archive>
@@ -57,7 +45,7 @@
 void serialize(Archive &archive, gossip_header &header)
 {
     archive(header.role, header.availabilityZone, header.http, header.revision);
-    archiveFlag(archive, header.stopping);
+    serializeFlag(archive, header.stopping);
 }
 
 namespace {
--- a/src/samples_wire.h
+++ b/src/samples_wire.h
@@ -46,7 +46,8 @@
     void serialize(Archive &archive)
     {
         archive(kind, number, trainer, method, resource, query, body, remainingMs, status, verdict,
-                retryAfterSeconds, notHolder);
+                retryAfterSeconds);
+        serializeFlag(archive, notHolder);
     }
 };
 
--- a/tests/test_peer_codec.cpp
+++ b/tests/test_peer_codec.cpp
@@ -22,6 +22,7 @@
     std::string name;
     std::vector<std::string> items;
     std::vector<std::uint64_t> numbers;
+    bool flag = false;
 
     auto operator<=>(const wire_sample &) const = default;
 
@@ -29,6 +30,7 @@
     void serialize(Archive &archive)
     {
         archive(name, items, numbers);
+        serializeFlag(archive, flag);
     }
 };
 
@@ -61,7 +63,7 @@
 
 RC_GTEST_PROP(wire, survivesDamagedPayloads, (const std::string &name, std::size_t position, char with))
 {
-    const wire_sample sample{name, {name, "b"}, {1, 2}};
+    const wire_sample sample{name, {name, "b"}, {1, 2}, true};
     std::string bytes = encodeWire(sample);
     RC_ASSERT(decodeWire<wire_sample>(bytes).value() == sample);
     bytes.at(position % bytes.size()) = with;
@@ -70,6 +72,14 @@
     RC_ASSERT(!decodeWire<wire_sample>(bytes).ok());
 }
 
+TEST(wire, refusesAFlagThatIsNeitherZeroNorOne)
+{
+    std::string bytes = encodeWire(wire_sample{"n", {}, {}, true});
+    EXPECT_TRUE(decodeWire<wire_sample>(bytes).value().flag);
+    bytes.back() = 2;
+    EXPECT_FALSE(decodeWire<wire_sample>(bytes).ok());
+}
+
 TEST(peer_codec, refusesAnotherKeyAndAnUnknownVersion)
 {
     const std::string bytes = encodePeerMessage(makeEnvelope("x"), kKey);
