--- a/tests/standins/gate_world.cpp
+++ b/tests/standins/gate_world.cpp
@@ -268,13 +268,13 @@
         fate = store_fate::unavailable;
     }
     store_outcome outcome = store_unavailable{"down"};
-    if (fate == store_fate::answer || (fate == store_fate::appliedUnknown && transaction != nullptr)) {
+    if (fate == store_fate::answer || (fate == store_fate::applied_unknown && transaction != nullptr)) {
         outcome = apply(taken->call.what);
     }
     if (transaction != nullptr && fate != store_fate::answer && fate != store_fate::unavailable) {
         outcome = store_unknown{};
     }
-    if (transaction != nullptr && fate == store_fate::appliedLater) {
+    if (transaction != nullptr && fate == store_fate::applied_later) {
         m_lateTransactions.push_back(*transaction);
     }
     if (m_gates.at(taken->gate).state.self.incarnation == taken->incarnation) {
@@ -306,15 +306,15 @@
     case call_fate::served:
         finishCall(*taken, {{}, transfer_outcome::complete, kOk, {}, serve(body)});
         return;
-    case call_fate::servedAnswerLost:
+    case call_fate::served_answer_lost:
         serve(body);
         finishCall(*taken, {{}, transfer_outcome::broken, 0, {}, ""});
         return;
-    case call_fate::servedLater:
+    case call_fate::served_later:
         m_lateBodies.push_back(body);
         finishCall(*taken, {{}, transfer_outcome::timed_out, 0, {}, ""});
         return;
-    case call_fate::lostUnserved:
+    case call_fate::lost_unserved:
         finishCall(*taken, {{}, transfer_outcome::broken, 0, {}, ""});
         return;
     case call_fate::refused:
@@ -322,7 +322,7 @@
         finishCall(*taken,
                    {{}, transfer_outcome::complete, kRefused, {{"Jacinthvale-Verdict", "not-run"}}, ""});
         return;
-    case call_fate::nothingSent:
+    case call_fate::nothing_sent:
         sent.pop_back();
         finishCall(*taken, {{}, transfer_outcome::nothing_sent, 0, {}, ""});
         return;
--- a/tests/standins/gate_world.h
+++ b/tests/standins/gate_world.h
@@ -28,10 +28,10 @@
 };
 
 /// What the table does with an operation.
-enum class store_fate { answer, appliedUnknown, unknown, appliedLater, unavailable };
+enum class store_fate { answer, applied_unknown, unknown, applied_later, unavailable };
 
 /// What becomes of a call to the service.
-enum class call_fate { served, servedAnswerLost, lostUnserved, refused, nothingSent, servedLater };
+enum class call_fate { served, served_answer_lost, lost_unserved, refused, nothing_sent, served_later };
 
 /// Gates, table, service, and what is on its way between them.
 class gate_world
--- a/tests/test_requests_state.cpp
+++ b/tests/test_requests_state.cpp
@@ -17,8 +17,8 @@
 constexpr int kMaxIndex = 8;
 
 enum class step_kind {
-    submitKey,
-    submitTicket,
+    submit_key,
+    submit_ticket,
     store,
     call,
     message,
@@ -65,11 +65,11 @@
         const auto at = static_cast<std::size_t>(gate);
         const auto which = static_cast<std::size_t>(index);
         switch (kind) {
-        case step_kind::submitKey: {
+        case step_kind::submit_key: {
             const std::string key = "k" + std::to_string(index % kKeys);
             return world.submit(at, key, bodyFor(key, fate == 0 ? 1 : 0), "");
         }
-        case step_kind::submitTicket:
+        case step_kind::submit_ticket:
             return submitTicket(sut);
         case step_kind::store:
             return world.decideStore(which, kStoreFates.at(static_cast<std::size_t>(fate)));
@@ -112,12 +112,13 @@
     }
 
     static constexpr std::array kStoreFates
-            = {store_fate::answer,         store_fate::answer,  store_fate::answer,
-               store_fate::appliedUnknown, store_fate::unknown, store_fate::appliedLater,
-               store_fate::unavailable,    store_fate::answer};
-    static constexpr std::array kCallFates = {
-            call_fate::served,  call_fate::served,      call_fate::served,      call_fate::servedAnswerLost,
-            call_fate::refused, call_fate::nothingSent, call_fate::servedLater, call_fate::lostUnserved};
+            = {store_fate::answer,          store_fate::answer,  store_fate::answer,
+               store_fate::applied_unknown, store_fate::unknown, store_fate::applied_later,
+               store_fate::unavailable,     store_fate::answer};
+    static constexpr std::array kCallFates = {call_fate::served,       call_fate::served,
+                                              call_fate::served,       call_fate::served_answer_lost,
+                                              call_fate::refused,      call_fate::nothing_sent,
+                                              call_fate::served_later, call_fate::lost_unserved};
 };
 
 using step_pointer = std::shared_ptr<const rc::state::Command<nothing, bench>>;
@@ -126,8 +127,8 @@
 {
     return rc::gen::exec([]() -> step_pointer {
         auto step = std::make_shared<world_step>();
-        step->kind = *rc::gen::weightedElement<step_kind>({{6, step_kind::submitKey},
-                                                           {3, step_kind::submitTicket},
+        step->kind = *rc::gen::weightedElement<step_kind>({{6, step_kind::submit_key},
+                                                           {3, step_kind::submit_ticket},
                                                            {9, step_kind::store},
                                                            {6, step_kind::call},
                                                            {5, step_kind::message},
