Outage test of samples: the outage begins while samples run

Cause: finishesAStepAfterAStoreOutage failed (65 s, uncommitted stayed 0): the outage began before the new daemon had read the platform's host list, so it knew no engine (its status: 0 engines, 16 queued). Ruled out: a fault of the holder; it kept its lease and its queue. Change: the test waits until samples are running, which is the case that it names. Run: passes in 8 s. Also with sanitizers: survivesTheDeathOfTheHolder and handsTheLeaseOverInAGracefulStop pass. Left: a daemon that starts in an outage learns of no engines until the store is back.

--- a/tests/test_samples_process.cpp
+++ b/tests/test_samples_process.cpp
@@ -209,8 +209,10 @@
     ASSERT_TRUE(processes.started());
     process_trainer trainer(processes);
     ASSERT_TRUE(trainer.postStep());
-    ASSERT_TRUE(processes.fault(processes.platform(), {{"kind", "outage"}, {"on", true}}));
     const std::size_t holder = trainer.holder();
+    ASSERT_TRUE(waitUntil(
+            [&] { return processes.status(processes.rollout(holder))["samples"]["generations"] > 4; }));
+    ASSERT_TRUE(processes.fault(processes.platform(), {{"kind", "outage"}, {"on", true}}));
     // Samples are generated while nothing can be committed.
     EXPECT_TRUE(waitUntil([&] {
         const json status = processes.status(processes.rollout(holder));
