Test that published weights come in force on every engine; it fails

A version that a trainer publishes before its first group is acknowledged with 200, but no engine gets an order. The same outside the test with 2 and with 10 engines: no order within 8 s, although fleet-0 held the shards. Ruled out: the number of engines. Not found: the cause.

--- a/tests/test_demo_path.cpp
+++ b/tests/test_demo_path.cpp
@@ -70,6 +70,14 @@
                 .status;
     }
 
+    int publish(int version)
+    {
+        return m_processes.client()
+                .post(m_processes.rollout(1).http(), path("/weights"),
+                      {{"model", "assessment"}, {"version", version}}, m_processes.trainerHeaders(m_name))
+                .status;
+    }
+
     /// Pulls until so many samples came.
     bool pullUntil(std::size_t count)
     {
@@ -203,6 +211,25 @@
     }
 }
 
+TEST(demo_path, putsPublishedWeightsInForceOnEveryEngine)
+{
+    fleet processes(smallFleet());
+    ASSERT_TRUE(processes.started() && processes.waitReady());
+    trainer client(processes, "trainer-0");
+    ASSERT_TRUE(waitUntil([&] { return client.publish(2) / 100 == 2; }));
+    client.version = 2;
+    ASSERT_TRUE(waitUntil([&] {
+        const json held = processes.counters(processes.engine(0))["held"];
+        return held["assessment"] == 2 && processes.counters(processes.engine(1))["held"] == held;
+    }));
+    ASSERT_TRUE(waitUntil([&] { return client.post(groupOf("g1", 0)) / 100 == 2; }));
+    ASSERT_TRUE(client.pullUntil(kGroupSize));
+    for (const json &sample : client.samples) {
+        expectTrueSample(sample);
+        EXPECT_EQ(statedVersions(sample), (std::vector<standin::version_run>{{2, kMaxTokens}}));
+    }
+}
+
 TEST(demo_path, putsAnOperatorsChangeInForceOnEveryDaemon)
 {
     fleet processes(smallFleet());
