--- a/include/jacinthvale/delivery.h
+++ b/include/jacinthvale/delivery.h
@@ -103,6 +103,9 @@
     std::uint64_t handedThrough = 0;
     /// Trainer's current weight version.
     weight_version version;
+    /// Weights that the trainer published, by model. Holders of engines read them here, so that a published
+    /// version is never acknowledged without being wanted.
+    std::map<model_id, weight_version> models;
 
     auto operator<=>(const trainer_head &) const = default;
 };
@@ -199,6 +202,8 @@
 
     /// The trainer's current version only rises.
     ledger_builder &setVersion(weight_version version);
+    /// Notes that the trainer published weights; versions only rise.
+    ledger_builder &publish(const model_id &model, weight_version version);
     ledger_builder &acceptGroup(const sample_group &group);
     /// Appends a sample; does nothing where its slot is unknown or has a live entry.
     /// @returns true if the sample is in the sequence after this change.
--- a/include/jacinthvale/fleet.h
+++ b/include/jacinthvale/fleet.h
@@ -77,8 +77,6 @@
 struct wanted_weights
 {
     weight_version version;
-    /// Table version of the row that said so; 0 for a push by a peer.
-    std::uint64_t rowVersion = 0;
     instant since{};
 };
 
--- a/src/delivery_builder.cpp
+++ b/src/delivery_builder.cpp
@@ -83,6 +83,13 @@
     return *this;
 }
 
+ledger_builder &ledger_builder::publish(const model_id &model, weight_version version)
+{
+    weight_version &known = m_next.head.models[model];
+    known = std::max(known, version);
+    return *this;
+}
+
 ledger_builder &ledger_builder::acceptGroup(const sample_group &group)
 {
     group_progress progress;
--- a/src/delivery_rows.cpp
+++ b/src/delivery_rows.cpp
@@ -110,6 +110,10 @@
 
 std::string writeHead(const trainer_head &head)
 {
+    json models = json::object();
+    for (const auto &[model, version] : head.models) {
+        models[model.value] = version.value;
+    }
     return dump({{"holder", head.holder.value},
                  {"incarnation", head.incarnation.value},
                  {"peer", toString(head.peer)},
@@ -118,7 +122,8 @@
                  {"lastPull", head.lastPull},
                  {"acknowledged", head.acknowledged},
                  {"handedThrough", head.handedThrough},
-                 {"version", head.version.value}});
+                 {"version", head.version.value},
+                 {"models", std::move(models)}});
 }
 
 absl::StatusOr<trainer_head> readHead(const std::string &value)
@@ -133,7 +138,11 @@
                 numberOf(row, "lastPull"),
                 numberOf(row, "acknowledged"),
                 numberOf(row, "handedThrough"),
-                {numberOf(row, "version")}};
+                {numberOf(row, "version")},
+                {}};
+        for (const auto &item : row.at("models").items()) {
+            head.models[{item.key()}] = {item.value().get<std::uint64_t>()};
+        }
     });
     return status.ok() ? absl::StatusOr<trainer_head>(head) : status;
 }
--- a/src/fleet_reduce.cpp
+++ b/src/fleet_reduce.cpp
@@ -2,6 +2,8 @@
 
 #include "overloaded.h"
 
+#include <jacinthvale/delivery.h>
+
 #include <algorithm>
 
 namespace jacinthvale {
@@ -15,7 +17,7 @@
     return state.self.role == process_role::fleet;
 }
 
-void beginScan(fleet_run &run, row_scan &scan, const char *prefix, milliseconds period)
+void beginScan(fleet_run &run, row_scan &scan, std::string_view prefix, milliseconds period)
 {
     if (scan.call || run.at.now < scan.next) {
         return;
@@ -23,7 +25,8 @@
     scan.call = run.nextOperation();
     scan.askedAt = run.at.now;
     scan.next = run.at.now + jittered(period, mixRandom(run.at.random, scan.call->number));
-    run.out.emplace_back(call_store{*scan.call, store_scan{prefix, "", 1000}, milliseconds{2000}});
+    run.out.emplace_back(
+            call_store{*scan.call, store_scan{std::string(prefix), "", 1000}, milliseconds{2000}});
 }
 
 void advanceScans(fleet_run &run)
@@ -36,7 +39,7 @@
     const bool holds = std::ranges::any_of(
             run.state.shards, [&](const fleet_shard &shard) { return shard.holding.mayAct(run.at.now); });
     if (holds) {
-        beginScan(run, run.state.weightScan, "weights/", kWeightPeriod);
+        beginScan(run, run.state.weightScan, kHeadPrefix, kWeightPeriod);
     }
 }
 
--- a/src/fleet_weights.cpp
+++ b/src/fleet_weights.cpp
@@ -19,7 +19,6 @@
 constexpr milliseconds kMaxBackoff{15'000};
 /// Engines that have not followed after this time no longer hold back the next ones.
 constexpr milliseconds kStragglerTime{15'000};
-const std::string kWeightsPrefix = "weights/";
 
 /// Push of new weights to the daemons that order them.
 struct weights_push
@@ -197,14 +196,13 @@
                                       "status " + std::to_string(result.status)});
 }
 
-void want(fleet_run &run, const model_id &model, weight_version version, std::uint64_t rowVersion)
+/// Versions only rise: an older word that arrives late changes nothing.
+void want(fleet_run &run, const model_id &model, weight_version version)
 {
     wanted_weights &wanted = run.state.wanted[model];
-    if (wanted.version != version) {
-        wanted.version = version;
-        wanted.since = run.at.now;
+    if (version > wanted.version) {
+        wanted = {version, run.at.now};
     }
-    wanted.rowVersion = std::max(wanted.rowVersion, rowVersion);
 }
 
 } // namespace
@@ -251,28 +249,21 @@
         return;
     }
     for (const store_row &row : rows->rows) {
-        const nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
-        const model_id model{row.key.substr(kWeightsPrefix.size())};
-        const bool valid = value.is_object() && value.contains("version")
-                           && value["version"].is_number_unsigned() && !model.empty();
-        if (!valid || row.version <= run.state.wanted[model].rowVersion) {
+        const nlohmann::json head = nlohmann::json::parse(row.value, nullptr, false);
+        if (!head.is_object() || !head.contains("models") || !head["models"].is_object()) {
             continue;
         }
-        const weight_version version{value["version"].get<std::uint64_t>()};
-        const wanted_weights &known = run.state.wanted[model];
-        // A read from before a push may still show what the push replaced.
-        const bool overtaken = version < known.version && run.state.weightScan.askedAt <= known.since;
-        if (!overtaken) {
-            want(run, model, version, row.version);
+        for (const auto &item : head["models"].items()) {
+            if (item.value().is_number_unsigned()) {
+                want(run, {item.key()}, {item.value().get<std::uint64_t>()});
+            }
         }
     }
 }
 
 void takePublished(fleet_run &run, const weights_published &what)
 {
-    if (what.version > run.state.wanted[what.model].version) {
-        want(run, what.model, what.version, 0);
-    }
+    want(run, what.model, what.version);
     const std::string payload = encodeWire(weights_push{what.model, what.version});
     for (const auto &[key, peer] : run.state.peers) {
         if (peer.role == "fleet" && peer.alive) {
@@ -288,9 +279,7 @@
         run.out.emplace_back(count_metric{"fleet_messages_malformed_total", 1});
         return;
     }
-    if (push->version > run.state.wanted[push->model].version) {
-        want(run, push->model, push->version, 0);
-    }
+    want(run, push->model, push->version);
 }
 
 } // namespace jacinthvale
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -55,10 +55,12 @@
     implementation(event_base *base, http_client_limits limits)
         : m_base(base)
         , m_limits(limits)
+        , m_reaper(base, [this] { reap(); })
     {}
 
     ~implementation()
     {
+        reap();
         for (auto &[id, running] : m_calls) {
             closeConnection(*running);
         }
@@ -238,15 +240,16 @@
     }
 
     /// evhttp still uses a connection inside its callbacks, so it is freed from the loop.
-    void freeSoon(evhttp_connection *connection) const
+    void freeSoon(evhttp_connection *connection)
     {
-        const timeval now{0, 0};
-        event_base_once(
-                m_base, -1, EV_TIMEOUT,
-                [](evutil_socket_t, short, void *c) {
-                    evhttp_connection_free(static_cast<evhttp_connection *>(c));
-                },
-                connection, &now);
+        m_dying.push_back(connection);
+        m_reaper.start(milliseconds{0});
+    }
+
+    void reap()
+    {
+        std::ranges::for_each(m_dying, evhttp_connection_free);
+        m_dying.clear();
     }
 
     void expire(http_call_handle handle)
@@ -272,6 +275,8 @@
     std::uint64_t m_lastHandle = 0;
     std::unordered_map<http_call_handle, std::unique_ptr<running_call>> m_calls;
     std::map<endpoint, std::deque<idle_connection>> m_idle;
+    std::vector<evhttp_connection *> m_dying;
+    event_timer m_reaper;
 };
 
 http_client::http_client(event_base *base, http_client_limits limits)
--- a/src/samples_commit.cpp
+++ b/src/samples_commit.cpp
@@ -160,6 +160,9 @@
     ledger_builder builder(session.ledger, step.uniqueId());
     builder.setVersion(session.version);
     commit.versions = takeFront(session.versions, session.versions.size());
+    for (const pending_version &one : commit.versions) {
+        builder.publish(one.model, one.version);
+    }
     // Expiry goes before new entries: one transaction writes each row once.
     addExpiry(step, session, builder);
     addGroups(step, session, builder, commit);
--- a/tests/test_demo_path.cpp
+++ b/tests/test_demo_path.cpp
@@ -70,11 +70,11 @@
                 .status;
     }
 
-    int publish(int version)
+    int publish(int published)
     {
         return m_processes.client()
                 .post(m_processes.rollout(1).http(), path("/weights"),
-                      {{"model", "assessment"}, {"version", version}}, m_processes.trainerHeaders(m_name))
+                      {{"model", "assessment"}, {"version", published}}, m_processes.trainerHeaders(m_name))
                 .status;
     }
 
--- a/tests/test_fleet_process.cpp
+++ b/tests/test_fleet_process.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int kEngines = 4;
-const std::string kWeightsKey = "weights/assessment";
+const std::string kHeadKey = "rollout/heads/trainer-of-this-test";
 
 fleet_shape rolloutShape(bool checksFencing)
 {
@@ -28,14 +28,14 @@
     return shape;
 }
 
-/// Writes the row that tells which weights are wanted.
+/// Writes a trainer's head row, which tells the weights that it published.
 bool publishWeights(fleet &all, int version)
 {
-    const json rows = all.client().post(all.platform().http(), "/table/get", {{"key", kWeightsKey}}).json();
+    const json rows = all.client().post(all.platform().http(), "/table/get", {{"key", kHeadKey}}).json();
     const json expected = rows["rows"].empty() ? json(0) : rows["rows"][0]["version"];
-    const json write = {{"key", kWeightsKey},
+    const json write = {{"key", kHeadKey},
                         {"expectedVersion", expected},
-                        {"value", json{{"version", version}}.dump()}};
+                        {"value", json{{"models", {{"assessment", version}}}}.dump()}};
     const json body = {{"writeId", "publish-" + std::to_string(version)},
                        {"checks", json::array()},
                        {"writes", json::array({write})}};
