Gossip keeps to a budget of bytes; a process that is cut off refuses what may not be repeated

By reckoning, 600 upstreams that refresh every 5 s need 84,000 facts sent a second by 350 daemons, three times what 30 KB/s each can carry, and holders' words would have lapsed after 10 s. The notice that a process is cut off was raised and nobody used it. Ruled out: fewer receivers (slower for leaving marks, which must stay fast). Change: observations leave every 400 ms, leaving marks still at every tick; an upstream's load is spread at most every 25 ms for each upstream of the fleet (1 s at 10, 15 s at 600), a changed condition or model at once; an observation lives six such periods. The requests domain refuses new non-repeatable work while it is cut off.

--- a/include/jacinthvale/gossip.h
+++ b/include/jacinthvale/gossip.h
@@ -91,6 +91,9 @@
     gossip_message pack(const gossip_header &header, std::vector<peer_contact> contacts,
                         std::size_t receivers);
 
+    /// @returns true while leaving marks are to be passed on.
+    bool hasUrgentNews() const { return !m_markSends.empty(); }
+
     bool hasNews() const { return !m_markSends.empty() || !m_reportSends.empty(); }
 
     /// Sends of a mark by one daemon, and of an observation.
--- a/include/jacinthvale/requests.h
+++ b/include/jacinthvale/requests.h
@@ -198,6 +198,8 @@
     claim_batcher ledger;
     std::uint64_t lastNumber = 0;
     bool stopping = false;
+    /// Neither the store nor a peer is heard: no new work that may not be repeated.
+    bool isolated = false;
     bool drained = false;
     instant stoppingSince{};
 };
--- a/src/membership_reduce.cpp
+++ b/src/membership_reduce.cpp
@@ -16,14 +16,22 @@
 constexpr milliseconds kHostListRetry{500};
 constexpr milliseconds kHostListTimeout{2000};
 constexpr milliseconds kGossipPeriod{500};
+/// Pace while there are observations to pass on: three datagrams of 1.3 kB each 400 ms are 10 kB/s out.
+constexpr milliseconds kNewsPeriod{400};
 /// Peers that one message goes to.
 constexpr std::size_t kGossipReceivers = 3;
 /// Peers that one message tells of.
 constexpr std::size_t kGossipContacts = 2;
-/// Age from which an observation by a holder is no longer relied upon.
-constexpr milliseconds kObservationLife{10'000};
-/// A load that changed little is spread again after this time.
-constexpr milliseconds kLoadSpreadPeriod{5000};
+/// Shortest age from which an observation by a holder is no longer relied upon.
+constexpr milliseconds kMinObservationLife{10'000};
+/// Shortest time after which an unchanged observation is spread again.
+constexpr milliseconds kMinRefreshPeriod{5000};
+/// Time between two spreads of one upstream's load, for each upstream of the fleet: the loads of all
+/// upstreams share one budget of bytes, whatever their number.
+constexpr milliseconds kLoadPeriodPerUpstream{25};
+constexpr milliseconds kMinLoadPeriod{1000};
+constexpr int kLoadPeriodsPerRefresh = 2;
+constexpr int kLoadPeriodsPerLife = 6;
 constexpr int kLoadChangeSpread = 4;
 constexpr milliseconds kStatusPeriod{1000};
 constexpr milliseconds kStatusTimeout{2000};
@@ -94,13 +102,15 @@
         for (auto &[id, known] : m_state.upstreams) {
             // Own status calls only where no holder of a shard tells of the upstream.
             const bool watched
-                    = m_state.facts.find(id) != nullptr && m_at.now < known.lastObserved + kObservationLife;
+                    = m_state.facts.find(id) != nullptr && m_at.now < known.lastObserved + observationLife();
             if (!watched && !known.statusCall && m_at.now >= known.nextStatus) {
                 known.statusCall = nextOperation();
                 get(*known.statusCall, known.listed.http, "/status", kStatusTimeout);
             }
         }
-        if (m_at.now >= m_state.nextGossip || m_state.facts.hasNews()) {
+        const bool newsDue
+                = m_state.facts.hasNews() && m_at.now >= m_state.nextGossip - kGossipPeriod + kNewsPeriod;
+        if (m_at.now >= m_state.nextGossip || newsDue || m_state.facts.hasUrgentNews()) {
             sendGossip();
         }
     }
@@ -181,7 +191,7 @@
         view.availabilityZone = host.availabilityZone;
         view.checksFencing = host.checksFencing;
         const bool observed
-                = m_at.now < known.lastObserved + kObservationLife && known.lastObserved != instant{};
+                = m_at.now < known.lastObserved + observationLife() && known.lastObserved != instant{};
         if (!observed) {
             // A first or long unobserved entry: the list is all there is.
             view.condition
@@ -221,7 +231,7 @@
             return;
         }
         known_upstream &known = found->second;
-        if (m_at.now < known.lastSpreadAt + kLoadSpreadPeriod && saysLittleNew(known.lastSpread, seen)) {
+        if (!isWorthSpreading(known, seen)) {
             return;
         }
         known.lastSpread = seen;
@@ -229,11 +239,31 @@
         takeReport(seen);
     }
 
-    static bool saysLittleNew(const std::optional<upstream_observed> &before, const upstream_observed &seen)
+    milliseconds loadPeriod() const
     {
-        return before && before->incarnation == seen.incarnation && before->reachable == seen.reachable
-               && before->leaving == seen.leaving && before->models == seen.models
-               && std::abs(before->running + before->queued - seen.running - seen.queued) < kLoadChangeSpread;
+        return std::max(kMinLoadPeriod,
+                        kLoadPeriodPerUpstream * static_cast<std::int64_t>(m_state.upstreams.size()));
+    }
+
+    milliseconds observationLife() const
+    {
+        return std::max(kMinObservationLife, loadPeriod() * kLoadPeriodsPerLife);
+    }
+
+    /// A changed condition or model is spread at once, a changed load after a while, no change rarely.
+    bool isWorthSpreading(const known_upstream &known, const upstream_observed &seen) const
+    {
+        const auto &before = known.lastSpread;
+        const bool changed = !before || before->incarnation != seen.incarnation
+                             || before->reachable != seen.reachable || before->leaving != seen.leaving
+                             || before->models != seen.models;
+        if (changed) {
+            return true;
+        }
+        const milliseconds age = m_at.now - known.lastSpreadAt;
+        const int moved = std::abs(before->running + before->queued - seen.running - seen.queued);
+        const milliseconds refresh = std::max(kMinRefreshPeriod, loadPeriod() * kLoadPeriodsPerRefresh);
+        return age >= refresh || (moved >= kLoadChangeSpread && age >= loadPeriod());
     }
 
     void takeMark(const leaving_mark &mark)
@@ -285,7 +315,7 @@
 
     bool isHeard(const known_peer &known) const
     {
-        return known.heardAt != instant{} && m_at.now < known.heardAt + kObservationLife;
+        return known.heardAt != instant{} && m_at.now < known.heardAt + kMinObservationLife;
     }
 
     /// Learns of a daemon that nothing was known of.
@@ -385,7 +415,7 @@
         known.statusCall.reset();
         known.nextStatus = m_at.now + jittered(kStatusPeriod, m_at.random);
         const bool watched = m_state.facts.find(known.view.id) != nullptr
-                             && m_at.now < known.lastObserved + kObservationLife;
+                             && m_at.now < known.lastObserved + observationLife();
         if (watched) {
             return;
         }
--- a/src/requests_reduce.cpp
+++ b/src/requests_reduce.cpp
@@ -17,17 +17,21 @@
 constexpr milliseconds kMaxStoreWait{30'000};
 constexpr std::string_view kTicketsPath = "/v1/tickets";
 
-request_error stoppingError(bool mayHaveRunEarlier)
+request_error closedError(const requests_state &state, bool mayHaveRunEarlier)
 {
-    return {mayHaveRunEarlier ? kGatewayTimeout : kUnavailable, "stopping", "This process is stopping.",
+    const bool stops = state.stopping;
+    return {mayHaveRunEarlier ? kGatewayTimeout : kUnavailable, stops ? "stopping" : "isolated",
+            stops ? "This process is stopping." : "This process hears neither the store nor any peer.",
             mayHaveRunEarlier ? verdict::may_have_run : verdict::not_run, 1};
 }
 
-/// @returns true where a stopping process refuses the call. Runs that it knows are still answered.
-bool refuseWhenStopping(requests_step &step, call_number number)
+/// @returns true where a stopping process, or one that is cut off, refuses the call. Runs that it knows are
+/// still answered, and tickets that it gave out, which expire soon, are still redeemed.
+bool refuseWhenClosed(requests_step &step, call_number number)
 {
     const call_record &call = step.state.calls.at(number);
-    if (!step.state.stopping) {
+    const bool closed = step.state.stopping || (step.state.isolated && !call.request.repeatable);
+    if (!closed) {
         return false;
     }
     const bool keyed = !call.request.idempotencyKey.empty();
@@ -37,7 +41,7 @@
     if (ticket || (keyed && step.state.runs.contains(run))) {
         return false;
     }
-    finishCall(step, number, toAnswer(stoppingError(keyed && !call.request.firstTry)));
+    finishCall(step, number, toAnswer(closedError(step.state, keyed && !call.request.firstTry)));
     return true;
 }
 
@@ -52,7 +56,7 @@
     call.recipients = {{exchange, call.deadline}};
     step.state.exchanges[exchange] = number;
     step.count("requests_received_total");
-    if (refuseWhenStopping(step, number)) {
+    if (refuseWhenClosed(step, number)) {
         return;
     }
     if (!call.request.ticket.empty()) {
@@ -69,8 +73,8 @@
     if (received.method != "POST") {
         sendAnswer(step, {received.exchange, {}},
                    toAnswer(wrongRequest(kWrongMethod, "wrong-method", "Use POST.")));
-    } else if (step.state.stopping) {
-        sendAnswer(step, {received.exchange, {}}, toAnswer(stoppingError(false)));
+    } else if (step.state.stopping || step.state.isolated) {
+        sendAnswer(step, {received.exchange, {}}, toAnswer(closedError(step.state, false)));
     } else {
         issueTicket(step, received.exchange);
     }
@@ -98,6 +102,7 @@
                        [&](const config_in_force &n) { step.state.config = n.document; },
                        [&](const upstream_changed &n) { onUpstreamChanged(step, n); },
                        [&](const peer_changed &n) { onPeerChanged(step, n.view); },
+                       [&](const isolation_changed &n) { step.state.isolated = n.isolated; },
                        [&](const stopping &) {
                            step.state.stopping = true;
                            step.state.stoppingSince = step.at.now;
--- a/tests/test_requests_policies.cpp
+++ b/tests/test_requests_policies.cpp
@@ -371,6 +371,20 @@
     EXPECT_EQ(gate.all<raise_notice>().size(), 1U);
 }
 
+TEST(requests, isolationRefusesOnlyWhatMayNotBeRepeated)
+{
+    one_gate gate({view("s1")});
+    gate.tell(notice_raised{domain::config, isolation_changed{true}});
+    gate.post("/v1/services/pay", "p");
+    EXPECT_EQ(gate.verdictSaid(), "not-run");
+    EXPECT_TRUE(gate.calls().empty());
+    gate.post("/v1/services/pay", "q", {{"Jacinthvale-Repeatable", "true"}});
+    EXPECT_EQ(gate.calls().size(), 1U);
+    gate.tell(notice_raised{domain::config, isolation_changed{false}});
+    gate.post("/v1/services/pay", "r");
+    EXPECT_EQ(gate.calls().size(), 1U);
+}
+
 TEST(requests, stopWaitsUntilEveryTicketIsUsedOrExpired)
 {
     one_gate gate({view("s1")});
