Membership: test of the budget of bytes at 600 upstreams

Cause: the budget was measured with few upstreams only. Change: a test in which one holder sees the load of 600 upstreams change each second for a minute. Seen to fail with the pace of 400 ms out: 2,072,157 bytes against 900,000.

--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -289,3 +289,33 @@
     EXPECT_EQ(hosts->size(), 1U);
     EXPECT_FALSE(parseUpstreamStatus("{}").has_value());
 }
+
+TEST(membership, keepsToItsBudgetOfBytesWhileEveryLoadChanges)
+{
+    constexpr int kUpstreams = 600;
+    constexpr std::size_t kPeers = 20;
+    constexpr int kSeconds = 60;
+    constexpr std::size_t kTicksPerSecond = 10;
+    // Half of the 30 kB a second that a daemon may move: as much comes in as goes out.
+    constexpr std::size_t kMaxBytesPerSecond = 15'000;
+    constexpr int kAllLost = 100;
+    simulated_network net(1, kAllLost);
+    auto hosts = nlohmann::json::parse(hostList("live", 1, kPeers));
+    for (int i = 0; i < kUpstreams; ++i) {
+        hosts["hosts"].push_back(hostEntry("e" + std::to_string(i), "engine", 10'000 + i, 1, "live"));
+    }
+    net.giveList(0, hosts.dump());
+    for (std::uint64_t second = 1; second <= kSeconds; ++second) {
+        for (int i = 0; i < kUpstreams; ++i) {
+            upstream_observed seen = report(1, 1, second, false);
+            seen.upstream = {"e" + std::to_string(i)};
+            seen.models = {{{"assessment"}, {1}, true}};
+            seen.running = second % 2 == 0 ? 0 : 100;
+            net.deliver(0, notice_raised{domain::fleet, seen});
+        }
+        for (std::size_t i = 0; i < kTicksPerSecond; ++i) {
+            net.passTick();
+        }
+    }
+    EXPECT_LE(net.sentBytes(), kSeconds * kMaxBytesPerSecond);
+}
