Peer connections: no callback is left over at the end of a process

Cause: demo_path.stopsEveryDaemonGracefully failed in one of three whole runs: when peers close at the moment a process ends, a deferred callback still holds the connection's memory (LeakSanitizer, three connections). Change: callbacks are not deferred; they are set after the connect call, so that a failure inside it cannot close the connection twice.

--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -237,8 +237,7 @@
     {
         out.owner = this;
         out.target = target;
-        out.connection = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-        bufferevent_setcb(out.connection, nullptr, nullptr, &implementation::outgoingEvent, &out);
+        out.connection = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_enable(out.connection, EV_READ | EV_WRITE);
         // A peer that takes no byte for this long has gone silent; the next message opens a new connection.
         constexpr timeval kWriteTimeout{5, 0};
@@ -248,6 +247,8 @@
             bufferevent_free(out.connection);
             return false;
         }
+        // Only now: a failure inside the call must not close the connection a second time.
+        bufferevent_setcb(out.connection, nullptr, nullptr, &implementation::outgoingEvent, &out);
         return true;
     }
 
