--- a/include/jacinthvale/effect.h
+++ b/include/jacinthvale/effect.h
@@ -38,6 +38,9 @@
     bool streamed = false;
     /// True: never a reused connection. For requests that may not be repeated, and for probes.
     bool freshConnection = false;
+    /// Header that the response repeats, and its value. A response with another value belongs to another
+    /// request: the call ends as broken. Empty: not checked.
+    std::pair<std::string, std::string> echo;
 };
 
 /// Ends a call without a further event; its connection is closed.
--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -48,6 +48,8 @@
     std::map<std::string, std::string> query;
     http_headers headers;
     std::string body;
+    /// Path and query as they came.
+    std::string target = {};
 };
 
 /// The caller of an unfinished exchange went away, or reads too slowly to be kept.
--- /dev/null
+++ b/include/jacinthvale/node.h
@@ -0,0 +1,357 @@
+/// A daemon that keeps nothing of its own: one process a host, all that lasts is in the platform's table.
+///
+/// Every decision is reduce(): it changes the state in place and returns what is to be done. Any daemon takes
+/// any call; a batch has one owner at a time, named with an epoch in the batch's head row; each later write
+/// about the batch is conditional on that row.
+#pragma once
+
+#include <jacinthvale/node_event.h>
+
+#include <deque>
+
+namespace jacinthvale::node {
+
+/// What a process is told about itself at its start.
+struct node_identity
+{
+    host_id host;
+    availability_zone_id availabilityZone;
+    /// Where peers reach this process.
+    endpoint peer;
+    /// Peers that may be there before the table of daemons is known.
+    std::vector<endpoint> seeds;
+    /// Two holders of the weights lease must not order within this time of each other.
+    milliseconds leaseTime{3000};
+    /// Longest time between SIGTERM and the end of the process.
+    milliseconds stopGrace{8000};
+};
+
+/// Row of a daemon in the table of daemons.
+struct member
+{
+    incarnation_id incarnation;
+    endpoint peer;
+    bool leaving = false;
+    std::uint64_t beats = 0;
+    /// When this process saw the row change.
+    instant changedAt{};
+    std::uint64_t rowVersion = 0;
+};
+
+/// Owner of a batch; empty where it was given up.
+struct owner_name
+{
+    host_id host;
+    incarnation_id incarnation;
+
+    auto operator<=>(const owner_name &) const = default;
+};
+
+/// Head row of a batch.
+struct batch_head
+{
+    owner_name owner;
+    /// Rises with each change of the owner.
+    std::uint64_t epoch = 0;
+    bool ended = false;
+    std::uint64_t total = 0;
+    /// Store's clock at acceptance.
+    std::uint64_t acceptedAtMs = 0;
+    /// Tokens that its items may need.
+    std::uint64_t work = 0;
+    batch what;
+    std::uint64_t rowVersion = 0;
+    /// When this process first saw that the owner is gone.
+    std::optional<instant> orphanSince;
+};
+
+enum class item_phase : std::uint8_t { waiting, running, finished, listed };
+
+/// An item in its owner's memory.
+struct owned_item
+{
+    batch_item item;
+    item_phase phase = item_phase::waiting;
+    item_state outcome = item_state::succeeded;
+    std::string text;
+    std::uint64_t pieces = 0;
+    std::set<std::uint64_t> versions;
+    unsigned failures = 0;
+    unsigned moves = 0;
+    op_id run;
+    upstream_id upstream;
+    instant startedAt{};
+    instant lastPieceAt{};
+    std::uint64_t piecesAtStart = 0;
+    /// Place in the order of starts; lower first.
+    std::size_t rank = 0;
+};
+
+struct waiting_reader
+{
+    exchange_id exchange;
+    std::size_t after = 0;
+    instant until{};
+};
+
+/// A batch that this process owns.
+struct owned_batch
+{
+    batch what;
+    std::uint64_t epoch = 0;
+    std::uint64_t headVersion = 0;
+    std::uint64_t acceptedAtMs = 0;
+    std::vector<owned_item> items;
+    /// Items by rank.
+    std::vector<std::size_t> order;
+    std::vector<item_result> listed;
+    std::deque<std::size_t> finished;
+    /// Items of the running transaction, in the order of their positions.
+    std::vector<std::size_t> committing;
+    op_id commit;
+    std::vector<waiting_reader> readers;
+    /// Being handed over: nothing new is started or listed.
+    bool handingOver = false;
+    instant nextCheckpoint{};
+};
+
+/// A batch whose acceptance is not yet proved.
+struct pending_batch
+{
+    batch what;
+    std::vector<exchange_id> exchanges;
+    std::string ownHeadValue;
+};
+
+/// A batch that is being taken over.
+struct loading_batch
+{
+    batch_head head;
+    std::string itemBytes;
+    std::string progressBytes;
+    std::vector<item_result> results;
+    std::string nextFrom;
+    bool readingResults = false;
+};
+
+/// Health of an upstream as requests show it.
+struct upstream_view
+{
+    upstream_entry entry;
+    unsigned running = 0;
+    unsigned strikes = 0;
+    /// No new work before this moment.
+    instant restUntil{};
+    /// Smoothed time between pieces of one run; 0 where unknown.
+    double paceMs = 0;
+    instant paceAt{};
+    /// Smoothed time of a forwarded call; 0 where unknown.
+    double callMs = 0;
+    std::uint64_t rowVersion = 0;
+};
+
+/// Follows one table by reading it whole once, then its changes.
+struct table_feed
+{
+    table_id table = table_id::operators;
+    milliseconds pace{0};
+    milliseconds wait{0};
+    std::vector<std::string> parts;
+    /// Part that is being read whole; parts.size() when done.
+    std::size_t part = 0;
+    std::string from;
+    std::uint64_t version = 0;
+    /// Version of the first answer of a whole read; changes are followed from there.
+    std::uint64_t wholeReadVersion = 0;
+    std::set<row_key> seen;
+    op_id running;
+    instant nextAt{};
+    instant answeredAt{};
+    /// Start of the present run of answers without a gap.
+    instant steadySince{};
+    bool synced = false;
+};
+
+struct page_read
+{
+    exchange_id exchange;
+    batch_id batch;
+    std::size_t after = 0;
+    instant until{};
+    instant nextAt{};
+    bool running = false;
+    op_id op;
+};
+
+/// One attempt of a forwarded call.
+struct call_attempt
+{
+    op_id op;
+    upstream_id upstream;
+    instant startedAt{};
+};
+
+struct call_state
+{
+    client_call call;
+    route by;
+    instant arrivedAt{};
+    instant deadline{};
+    std::vector<call_attempt> running;
+    std::set<upstream_id> tried;
+    /// Sends that may have run count against the route's limit.
+    unsigned sent = 0;
+    bool mayHaveRun = false;
+    instant nextTryAt{};
+};
+
+/// One order to an upstream, from the question for its state to the proof that it holds.
+struct running_order
+{
+    model_id model;
+    weight_version version;
+    op_id op;
+    bool ordered = false;
+    instant since{};
+    instant askAgainAt{};
+};
+
+struct weights_conductor
+{
+    fencing_number epoch;
+    host_id holder;
+    std::uint64_t rowVersion = 0;
+    bool rowKnown = false;
+    /// When this process saw the lease row change.
+    instant changedAt{};
+    bool held = false;
+    /// No order after this moment without a renewal.
+    instant heldUntil{};
+    instant renewSentAt{};
+    instant nextAt{};
+    op_id op;
+    op_id readOp;
+    std::map<upstream_id, running_order> orders;
+};
+
+// What a running operation is for.
+struct for_feed
+{
+    table_id table;
+};
+struct for_beat
+{};
+struct for_accept
+{
+    batch_id batch;
+};
+struct for_commit
+{
+    batch_id batch;
+};
+struct for_claim
+{
+    batch_id batch;
+    batch_head wanted;
+};
+struct for_load
+{
+    batch_id batch;
+};
+struct for_end
+{
+    batch_id batch;
+    exchange_id exchange;
+    bool reading = false;
+};
+struct for_page
+{
+    exchange_id exchange;
+    bool readingHead = false;
+};
+struct for_item
+{
+    exchange_id exchange;
+    batch_id batch;
+    item_id item;
+    std::string bytes;
+    bool readingHead = false;
+};
+struct for_release
+{
+    batch_id batch;
+};
+struct for_checkpoint
+{
+    batch_id batch;
+};
+struct for_run
+{
+    batch_id batch;
+    std::size_t item = 0;
+    upstream_id upstream;
+};
+struct for_call
+{
+    exchange_id exchange;
+    upstream_id upstream;
+};
+struct for_lease
+{
+    bool reading = false;
+};
+struct for_order
+{
+    upstream_id upstream;
+};
+using purpose
+        = std::variant<for_feed, for_beat, for_accept, for_commit, for_claim, for_load, for_end, for_page,
+                       for_item, for_release, for_checkpoint, for_run, for_call, for_lease, for_order>;
+
+/// State of a daemon.
+struct node_state
+{
+    node_identity self;
+    incarnation_id incarnation;
+    std::uint64_t lastOp = 0;
+    std::map<op_id, purpose> ops;
+
+    std::vector<table_feed> feeds;
+    bool configKnown = false;
+    route_table config;
+    std::map<model_id, weight_version> named;
+    std::map<upstream_id, upstream_view> upstreams;
+    std::map<host_id, member> members;
+    std::map<batch_id, batch_head> heads;
+
+    std::map<batch_id, owned_batch> owned;
+    std::map<batch_id, pending_batch> pending;
+    std::map<batch_id, loading_batch> loading;
+    std::map<exchange_id, page_read> pages;
+    std::map<exchange_id, call_state> calls;
+    weights_conductor conductor;
+
+    std::uint64_t ownRowVersion = 0;
+    bool ownRowKnown = false;
+    std::uint64_t beats = 0;
+    bool beatRunning = false;
+    instant nextBeatAt{};
+
+    /// Store's clock and the moment at which it was read.
+    std::uint64_t storeNowMs = 0;
+    instant storeNowAt{};
+    /// Last answer of the store, directly or through a peer.
+    instant storeSeenAt{};
+    bool ready = false;
+    bool stopping = false;
+    instant stopAt{};
+    std::vector<endpoint> relays;
+};
+
+/// @returns the first state of a daemon.
+node_state makeNodeState(const node_identity &self);
+
+/// Handles one event.
+effects reduce(node_state &state, const event &what, const context &at);
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/include/jacinthvale/node_event.h
@@ -0,0 +1,380 @@
+/// Events and effects of the daemon of node.h. The adapter in platform/ makes the first and performs the
+/// second.
+#pragma once
+
+#include <jacinthvale/node_types.h>
+
+#include <absl/status/status.h>
+#include <variant>
+
+namespace jacinthvale::node {
+
+/// Names a call, run or store operation; drawn by the reducer.
+using op_id = number_id<struct op_tag>;
+
+// Events.
+
+/// First event of a process.
+struct started
+{
+    incarnation_id incarnation;
+};
+
+/// Comes every kTickPeriod.
+struct tick
+{};
+
+inline constexpr milliseconds kTickPeriod{50};
+
+struct call_received
+{
+    client_call call;
+};
+
+struct batch_received
+{
+    exchange_id exchange;
+    batch what;
+};
+
+struct page_asked
+{
+    exchange_id exchange;
+    batch_id batch;
+    std::size_t after = 0;
+    milliseconds wait{0};
+};
+
+struct item_asked
+{
+    exchange_id exchange;
+    batch_id batch;
+    item_id item;
+};
+
+struct batch_end_asked
+{
+    exchange_id exchange;
+    batch_id batch;
+};
+
+/// The caller of an unanswered exchange went away.
+struct caller_gone
+{
+    exchange_id exchange;
+};
+
+/// Decoded row of the operator or of an upstream; monostate for one that cannot be read or is removed.
+struct named_version
+{
+    model_id model;
+    weight_version version;
+};
+using foreign_row = std::variant<std::monostate, route_table, named_version, upstream_entry>;
+
+struct row_change
+{
+    row what;
+    foreign_row foreign;
+};
+
+/// Rows read or changed. More: the answer was cut at the service's limit.
+struct rows_arrived
+{
+    op_id op;
+    std::vector<row_change> rows;
+    std::uint64_t version = 0;
+    /// Steady clock of the store.
+    std::uint64_t storeNowMs = 0;
+    bool more = false;
+};
+
+/// The history asked for is gone: read the table anew.
+struct history_gone
+{
+    op_id op;
+};
+
+/// A transaction took effect.
+struct rows_committed
+{
+    op_id op;
+    std::uint64_t version = 0;
+    std::uint64_t storeNowMs = 0;
+};
+
+/// A transaction did not take effect; rows are the present ones of those that it expected.
+struct rows_conflict
+{
+    op_id op;
+    std::vector<row> rows;
+    /// An earlier copy of it got no answer, and may be what changed the rows.
+    bool afterLostAnswer = false;
+};
+
+/// A store operation ended without proof. MayHappen: it may have taken effect, or may still.
+struct store_failed
+{
+    op_id op;
+    bool mayHappen = false;
+    std::string reason;
+};
+
+/// Whole pieces of a generation, in order.
+struct run_piece
+{
+    std::uint64_t number = 0;
+    std::string data;
+    /// Version of the weights that made it; 0 where the stream did not say.
+    std::uint64_t version = 0;
+};
+
+struct run_progressed
+{
+    op_id op;
+    std::vector<run_piece> pieces;
+};
+
+/// How a call at an upstream ended.
+enum class call_end : std::uint8_t {
+    /// The whole answer arrived and is the upstream's.
+    complete,
+    /// The upstream said that it did not run the request, or no byte was sent.
+    not_run,
+    /// Another upstream has the address, or another version of weights; not run.
+    misdirected,
+    /// The upstream failed it: the run counts.
+    failed,
+    /// The upstream says that it can never be done.
+    impossible,
+    /// No whole answer: it may have run.
+    broken,
+    /// No byte in time: it may have run.
+    silent,
+};
+
+struct run_ended
+{
+    op_id op;
+    call_end end = call_end::complete;
+};
+
+/// End of a forwarded call or of an order. Headers and body only for forwarded calls.
+struct call_ended
+{
+    op_id op;
+    call_end end = call_end::complete;
+    int status = 0;
+    http_headers headers;
+    std::string body;
+};
+
+/// What an upstream reports when asked.
+struct load_reported
+{
+    op_id op;
+    bool known = false;
+    bool busy = false;
+    /// Number of orders that it has accepted since its start.
+    std::uint64_t orders = 0;
+    std::map<model_id, weight_version> weights;
+};
+
+struct stop_requested
+{};
+
+using event
+        = std::variant<started, tick, call_received, batch_received, page_asked, item_asked, batch_end_asked,
+                       caller_gone, rows_arrived, history_gone, rows_committed, rows_conflict, store_failed,
+                       run_progressed, run_ended, call_ended, load_reported, stop_requested>;
+
+// Effects.
+
+struct read_rows
+{
+    op_id op;
+    table_id table = table_id::heads;
+    std::string part;
+    /// First key; empty for the first row.
+    std::string from;
+    /// Key behind the last one; empty for no end.
+    std::string to;
+};
+
+struct read_changes
+{
+    op_id op;
+    table_id table = table_id::heads;
+    std::uint64_t after = 0;
+    milliseconds wait{0};
+};
+
+struct row_condition
+{
+    table_id table = table_id::heads;
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+struct row_put
+{
+    table_id table = table_id::heads;
+    std::string key;
+    std::string value;
+};
+
+/// All conditions and puts are of one part, and take effect together or not at all.
+struct commit_rows
+{
+    op_id op;
+    std::string part;
+    std::vector<row_condition> conditions;
+    std::vector<row_put> puts;
+    milliseconds deadline{4000};
+};
+
+struct run_item
+{
+    op_id op;
+    endpoint target;
+    upstream_id upstream;
+    std::string host;
+    batch_item item;
+    /// Pieces that are already there; the run goes on after them.
+    std::uint64_t after = 0;
+    milliseconds progressTimeout{2000};
+};
+
+struct forward_call
+{
+    op_id op;
+    endpoint target;
+    upstream_id upstream;
+    client_call call;
+    milliseconds patience{0};
+};
+
+/// Ends a run or call without a further event.
+struct cancel_call
+{
+    op_id op;
+};
+
+struct ask_load
+{
+    op_id op;
+    endpoint target;
+    upstream_id upstream;
+};
+
+struct order_weights
+{
+    op_id op;
+    endpoint target;
+    upstream_id upstream;
+    model_id model;
+    weight_version version;
+    host_id holder;
+    fencing_number fencing;
+    /// The order is refused where the upstream has accepted another number of orders.
+    std::uint64_t expectedOrders = 0;
+};
+
+/// The upstream's own answer, unchanged.
+struct answer_call
+{
+    exchange_id exchange;
+    int status = 200;
+    http_headers headers;
+    std::string body;
+};
+
+/// Why a caller gets no answer of an upstream.
+enum class refusal : std::uint8_t {
+    /// Proved not run, now and later; come back after the given time.
+    not_run,
+    /// It may have run.
+    may_have_run,
+    /// Out of time; it may have run.
+    out_of_time,
+    /// The configuration has no such route, batch or item.
+    unknown,
+    /// The request is malformed.
+    malformed,
+};
+
+struct refuse_call
+{
+    exchange_id exchange;
+    refusal why = refusal::not_run;
+    milliseconds comeBackAfter{0};
+};
+
+struct accept_batch
+{
+    exchange_id exchange;
+};
+
+struct answer_page
+{
+    exchange_id exchange;
+    std::size_t total = 0;
+    std::size_t after = 0;
+    std::vector<item_result> results;
+};
+
+struct answer_item
+{
+    exchange_id exchange;
+    std::string body;
+};
+
+struct answer_ended
+{
+    exchange_id exchange;
+};
+
+struct set_readiness
+{
+    bool ready = false;
+};
+
+/// Peers through which the store may be reached when it turns this host away.
+struct set_relays
+{
+    std::vector<endpoint> peers;
+};
+
+/// One structured log line.
+struct log_decision
+{
+    /// Stable word, for example "batch-accepted".
+    std::string what;
+    /// Id of the request, batch, item, upstream or lease concerned.
+    std::string subject;
+    std::string detail;
+};
+
+struct count
+{
+    std::string name;
+    double amount = 1;
+};
+
+struct observe
+{
+    std::string name;
+    double value = 0;
+};
+
+struct end_process
+{};
+
+using effect
+        = std::variant<read_rows, read_changes, commit_rows, run_item, forward_call, cancel_call, ask_load,
+                       order_weights, answer_call, refuse_call, accept_batch, answer_page, answer_item,
+                       answer_ended, set_readiness, set_relays, log_decision, count, observe, end_process>;
+
+using effects = std::vector<effect>;
+
+} // namespace jacinthvale::node
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -131,6 +131,21 @@
         return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
     }
 
+    static evbuffer *inputOf(evhttp_connection *connection)
+    {
+        return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+    }
+
+    /// After a failure the idle connections to the same target may be as dead as the one that failed.
+    void dropIdle(const endpoint &target)
+    {
+        for (const idle_connection &idle : m_idle[target]) {
+            m_dying.push_back(idle.connection);
+        }
+        m_idle[target].clear();
+        m_reaper.start(milliseconds{0});
+    }
+
     evhttp_connection *connect(const endpoint &target) const
     {
         evhttp_connection *connection
@@ -171,12 +186,14 @@
     static bool dispatch(running_call &running)
     {
         evhttp_request *request = evhttp_request_new(&implementation::done, &running);
+        evhttp_request_set_header_cb(request, &implementation::headArrived);
         if (running.call.streamed) {
-            evhttp_request_set_header_cb(request, &implementation::headArrived);
             evhttp_request_set_chunked_cb(request, &implementation::chunkArrived);
         }
         evkeyvalq *headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", toString(running.call.target).c_str());
+        if (!running.call.headers.contains("Host")) {
+            evhttp_add_header(headers, "Host", toString(running.call.target).c_str());
+        }
         for (const auto &[name, value] : running.call.headers) {
             evhttp_add_header(headers, name.c_str(), value.c_str());
         }
@@ -200,7 +217,16 @@
     {
         auto *running = static_cast<running_call *>(argument);
         running->timer->start(running->call.progressTimeout);
-        running->listener.onHead(evhttp_request_get_response_code(request), readHeaders(request));
+        const auto &[name, value] = running->call.echo;
+        if (!name.empty()) {
+            const char *echoed = evhttp_find_header(evhttp_request_get_input_headers(request), name.c_str());
+            if (echoed != nullptr && value != echoed) {
+                return -1;
+            }
+        }
+        if (running->call.streamed) {
+            running->listener.onHead(evhttp_request_get_response_code(request), readHeaders(request));
+        }
         return 0;
     }
 
@@ -231,8 +257,12 @@
         const auto node = m_calls.extract(running.handle);
         running_call &last = *node.mapped();
         evbuffer_remove_cb_entry(outputOf(last.connection), last.watch);
-        if (status == 0 || last.call.freshConnection) {
+        const bool leftOver = evbuffer_get_length(inputOf(last.connection)) > 0;
+        if (status == 0 || last.call.freshConnection || leftOver) {
             freeSoon(last.connection);
+            if (status == 0) {
+                dropIdle(last.call.target);
+            }
         } else {
             giveBack(last.call.target, last.connection);
         }
@@ -260,6 +290,7 @@
         }
         const running_call &running = *node.mapped();
         closeConnection(running);
+        dropIdle(running.call.target);
         const auto outcome = running.sent ? transfer_outcome::timed_out : transfer_outcome::nothing_sent;
         running.listener.onFinished({running.call.operation, outcome, 0, {}, {}});
     }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -238,7 +238,8 @@
         m_listener.onRequest({id, methodName(evhttp_request_get_command(request)),
                               decodePercent(path == nullptr ? "" : path, false),
                               readQuery(evhttp_uri_get_query(uri)),
-                              readHeaders(evhttp_request_get_input_headers(request)), readBody(request)});
+                              readHeaders(evhttp_request_get_input_headers(request)), readBody(request),
+                              evhttp_request_get_uri(request)});
     }
 
     /// evhttp closes the connection of an unfinished exchange.
--- /dev/null
+++ b/src/node_members.cpp
@@ -0,0 +1,145 @@
+#include "node_rows.h"
+#include "node_step.h"
+
+#include <algorithm>
+
+namespace jacinthvale::node {
+
+namespace {
+
+/// Time between two beats of a daemon.
+constexpr milliseconds kBeatPeriod{700};
+
+/// A daemon whose row has not changed for this long is taken for dead: three beats and the pause between two
+/// reads. A wrong guess costs runs done twice, never a wrong listing.
+constexpr milliseconds kDeadAfter{2600};
+
+/// Without an answer of the store for this long, by any way, callers are better off at another daemon. Well
+/// above one slow answer, below the time after which a healed host must work again (3 s).
+constexpr milliseconds kStoreSilence{2500};
+
+/// Pause between the hosts that may take a batch over, in their order: time for one claim at a slow store.
+constexpr milliseconds kTakeOverStep{500};
+
+} // namespace
+
+std::uint64_t storeTime(const node_state &state, instant now)
+{
+    if (state.storeNowMs == 0) {
+        return 0;
+    }
+    return state.storeNowMs + static_cast<std::uint64_t>((now - state.storeNowAt).count());
+}
+
+void beat(step &s)
+{
+    node_state &state = s.state;
+    if (state.beatRunning || state.nextBeatAt > s.at.now || !feedOf(state, table_id::daemons).synced) {
+        return;
+    }
+    state.beatRunning = true;
+    ++state.beats;
+    const member self{state.incarnation, state.self.peer, state.stopping, state.beats, {}, 0};
+    s.emit(commit_rows{s.open(for_beat{}),
+                       "",
+                       {{table_id::daemons, state.self.host.value, state.ownRowVersion}},
+                       {{table_id::daemons, state.self.host.value, encodeMember(self)}},
+                       milliseconds{3000}});
+}
+
+void onBeatCommitted(step &s, const rows_committed &what)
+{
+    s.state.beatRunning = false;
+    s.state.ownRowVersion = what.version;
+    s.state.nextBeatAt = s.at.now + kBeatPeriod;
+}
+
+void onBeatConflict(step &s, const rows_conflict &what)
+{
+    // An earlier beat whose answer was lost, or the row of this host's process before.
+    s.state.beatRunning = false;
+    s.state.ownRowVersion = what.rows.empty() ? 0 : what.rows.front().version;
+    s.state.nextBeatAt = s.at.now;
+}
+
+void onMemberRow(step &s, const row &what)
+{
+    const host_id host{what.key.key};
+    if (host == s.state.self.host) {
+        s.state.ownRowVersion = std::max(s.state.ownRowVersion, what.removed ? 0 : what.version);
+    }
+    if (what.removed) {
+        s.state.members.erase(host);
+        return;
+    }
+    auto row = decodeMember(what);
+    if (!row) {
+        s.log("daemon-row-unreadable", host.value);
+        return;
+    }
+    const auto found = s.state.members.find(host);
+    if (found == s.state.members.end() || found->second.incarnation != row->incarnation) {
+        s.log("daemon-seen", host.value, "incarnation " + std::to_string(row->incarnation.value));
+    } else if (!found->second.leaving && row->leaving) {
+        s.log("daemon-leaving", host.value);
+    }
+    row->changedAt = found != s.state.members.end() && found->second.rowVersion == row->rowVersion
+                             ? found->second.changedAt
+                             : s.at.now;
+    s.state.members[host] = *row;
+}
+
+bool isAlive(const node_state &state, const owner_name &who, instant now)
+{
+    if (who.host == state.self.host) {
+        return who.incarnation == state.incarnation;
+    }
+    const auto found = state.members.find(who.host);
+    if (found == state.members.end() || found->second.incarnation != who.incarnation) {
+        return false;
+    }
+    // While the table could not be read nobody's beat was seen: silence counts from the end of that.
+    const table_feed &feed = *std::ranges::find(state.feeds, table_id::daemons, &table_feed::table);
+    return now - std::max(found->second.changedAt, feed.steadySince) < kDeadAfter;
+}
+
+milliseconds takeOverDelay(const node_state &state, const batch_id &id, instant now)
+{
+    const auto weigh = [&](const host_id &host) { return stableHash(id.value + '\n' + host.value); };
+    const std::uint64_t own = weigh(state.self.host);
+    const auto before = std::ranges::count_if(state.members, [&](const auto &other) {
+        return other.first != state.self.host && !other.second.leaving
+               && isAlive(state, {other.first, other.second.incarnation}, now) && weigh(other.first) > own;
+    });
+    return kTakeOverStep * before;
+}
+
+void updateReadiness(step &s)
+{
+    node_state &state = s.state;
+    std::vector<endpoint> relays;
+    for (const auto &[host, who] : state.members) {
+        if (host != state.self.host && isAlive(state, {host, who.incarnation}, s.at.now)) {
+            relays.push_back(who.peer);
+        }
+    }
+    if (relays.empty()) {
+        std::ranges::copy_if(state.self.seeds, std::back_inserter(relays),
+                             [&](const endpoint &seed) { return seed != state.self.peer; });
+    }
+    if (relays != state.relays) {
+        state.relays = relays;
+        s.emit(set_relays{std::move(relays)});
+    }
+    const bool synced = std::ranges::all_of(state.feeds, &table_feed::synced);
+    const bool ready
+            = state.configKnown && synced && !state.stopping && s.at.now - state.storeSeenAt < kStoreSilence;
+    if (ready != state.ready) {
+        state.ready = ready;
+        s.log(ready ? "ready" : "not-ready", state.self.host.value,
+              "store answered " + std::to_string((s.at.now - state.storeSeenAt).count()) + " ms ago");
+        s.emit(set_readiness{ready});
+    }
+}
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_placement.cpp
@@ -0,0 +1,282 @@
+#include "node_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <range/v3/algorithm/max_element.hpp>
+#include <range/v3/algorithm/min_element.hpp>
+#include <range/v3/algorithm/sort.hpp>
+#include <range/v3/numeric/accumulate.hpp>
+#include <range/v3/range/conversion.hpp>
+#include <range/v3/view/filter.hpp>
+#include <range/v3/view/map.hpp>
+#include <range/v3/view/transform.hpp>
+
+namespace jacinthvale::node {
+
+namespace {
+
+/// A pace older than this says nothing: the upstream may have recovered.
+constexpr milliseconds kPaceAge{3000};
+
+/// Output tokens of an item whose client gave no guess, as a share of all its tokens.
+constexpr double kUnguessedShare = 0.5;
+
+/// An upstream in another zone is taken only if it is this much better: bytes between zones cost.
+constexpr double kOtherZoneFactor = 1.1;
+
+/// How much each running generation adds to the expected pace of an upstream.
+constexpr double kCrowdingPerSlot = 0.25;
+
+/// Number of upstreams of each model: by largest remainder, at least one each where there are enough.
+std::map<model_id, std::size_t> quotas(std::size_t upstreams, const model_work &work)
+{
+    const double total = ranges::accumulate(work | ranges::views::values, 0.0);
+    std::map<model_id, std::size_t> result;
+    std::vector<std::pair<double, model_id>> remainders;
+    const std::size_t spare = upstreams > work.size() ? upstreams - work.size() : 0;
+    std::size_t given = 0;
+    for (const auto &[model, amount] : work) {
+        const double share = total > 0 ? amount / total : 1.0 / static_cast<double>(work.size());
+        const double exact = std::max(0.0, share * static_cast<double>(upstreams) - 1.0);
+        const auto whole = std::min(spare, static_cast<std::size_t>(exact));
+        result[model] = 1 + whole;
+        given += 1 + whole;
+        remainders.emplace_back(exact - static_cast<double>(whole), model);
+    }
+    ranges::sort(remainders, std::greater<>{});
+    for (std::size_t i = 0; given < upstreams && !remainders.empty(); ++i, ++given) {
+        ++result[remainders[i % remainders.size()].second];
+    }
+    return result;
+}
+
+bool isUsable(const upstream_view &view, const service_id &service, instant now)
+{
+    return view.entry.service == service && !view.entry.draining && view.restUntil <= now;
+}
+
+weight_version versionOf(const upstream_view &view, const model_id &model)
+{
+    const auto found = view.entry.weights.find(model);
+    return found == view.entry.weights.end() ? weight_version{0} : found->second;
+}
+
+} // namespace
+
+const route *findRoute(const route_table &table, std::string_view host, std::string_view path)
+{
+    const route *best = nullptr;
+    for (const route &candidate : table.routes) {
+        if (candidate.host == host && path.starts_with(candidate.pathPrefix)
+            && (best == nullptr || best->pathPrefix.size() < candidate.pathPrefix.size())) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+std::map<upstream_id, model_id> dealUpstreams(const std::vector<dealt_upstream> &upstreams,
+                                              const model_work &work)
+{
+    struct bid
+    {
+        std::uint64_t lag;
+        std::uint64_t hash;
+        const dealt_upstream *upstream;
+        const model_id *model;
+    };
+    std::vector<bid> bids;
+    for (const dealt_upstream &upstream : upstreams) {
+        for (const auto &[model, amount] : work) {
+            const auto lag = upstream.lag.find(model);
+            bids.push_back({lag == upstream.lag.end() ? 0 : lag->second,
+                            stableHash(upstream.id.value + '\n' + model.value), &upstream, &model});
+        }
+    }
+    ranges::sort(bids, [](const bid &left, const bid &right) {
+        return std::tie(left.lag, left.hash) < std::tie(right.lag, right.hash);
+    });
+    std::map<model_id, std::size_t> left = quotas(upstreams.size(), work);
+    std::map<upstream_id, model_id> deal;
+    for (const bid &next : bids) {
+        if (left[*next.model] > 0 && !deal.contains(next.upstream->id)) {
+            --left[*next.model];
+            deal.emplace(next.upstream->id, *next.model);
+        }
+    }
+    return deal;
+}
+
+std::map<upstream_id, model_id> dealOf(const node_state &state, const service_id &service)
+{
+    const auto models = state.config.models.find(service);
+    if (models == state.config.models.end()) {
+        return {};
+    }
+    std::map<model_id, std::pair<double, unsigned>> handedIn;
+    for (const auto &[id, head] : state.heads) {
+        auto &[sum, number] = handedIn[head.what.model];
+        sum += static_cast<double>(head.work);
+        ++number;
+    }
+    const double known = ranges::accumulate(
+            handedIn | ranges::views::values
+                    | ranges::views::transform([](const auto &v) { return v.first / v.second; }),
+            0.0);
+    const double usual = handedIn.empty() ? 1.0 : known / static_cast<double>(handedIn.size());
+    model_work work;
+    for (const model_id &model : models->second) {
+        const auto found = handedIn.find(model);
+        work[model] = found == handedIn.end() ? usual : found->second.first / found->second.second;
+    }
+    std::vector<dealt_upstream> upstreams;
+    for (const auto &[id, view] : state.upstreams) {
+        if (view.entry.service != service || view.entry.draining) {
+            continue;
+        }
+        dealt_upstream next{id, {}};
+        for (const model_id &model : models->second) {
+            const auto named = state.named.find(model);
+            const std::uint64_t wanted = named == state.named.end() ? 1 : named->second.value;
+            const std::uint64_t present = versionOf(view, model).value;
+            next.lag[model] = wanted > present ? wanted - present : 0;
+        }
+        upstreams.push_back(std::move(next));
+    }
+    return dealUpstreams(upstreams, work);
+}
+
+service_id drawService(const route &by, std::uint64_t random)
+{
+    const unsigned total
+            = ranges::accumulate(by.services | ranges::views::transform(&service_share::weight), 0U);
+    if (total == 0) {
+        return by.services.empty() ? service_id{} : by.services.front().service;
+    }
+    auto left = static_cast<unsigned>(random % total);
+    for (const service_share &share : by.services) {
+        if (left < share.weight) {
+            return share.service;
+        }
+        left -= share.weight;
+    }
+    return by.services.back().service;
+}
+
+double medianPace(const node_state &state, const service_id &service, instant now)
+{
+    auto paces
+            = state.upstreams | ranges::views::values | ranges::views::filter([&](const upstream_view &view) {
+                  return view.entry.service == service && view.paceMs > 0 && now - view.paceAt <= kPaceAge;
+              })
+              | ranges::views::transform(&upstream_view::paceMs) | ranges::to<std::vector<double>>();
+    if (paces.empty()) {
+        return 0;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+double paceOf(const upstream_view &view, double median, instant now)
+{
+    return view.paceMs > 0 && now - view.paceAt <= kPaceAge ? view.paceMs : median;
+}
+
+std::optional<upstream_id> placeRun(const node_state &state, const service_id &service, const model_id &model,
+                                    weight_version minVersion, const std::map<upstream_id, model_id> &deal,
+                                    instant now)
+{
+    const double median = medianPace(state, service, now);
+    std::optional<upstream_id> best;
+    double bestCost = 0;
+    bool bestDealt = false;
+    for (const auto &[id, view] : state.upstreams) {
+        if (!isUsable(view, service, now) || versionOf(view, model) < minVersion
+            || view.running >= view.entry.slots) {
+            continue;
+        }
+        const auto share = deal.find(id);
+        const bool dealt = share != deal.end() && share->second == model;
+        const double crowding = kCrowdingPerSlot * view.running / std::max(1U, view.entry.slots);
+        double cost = (median > 0 ? paceOf(view, median, now) / median : 1.0) * (1.0 + crowding);
+        if (view.entry.zone != state.self.availabilityZone) {
+            cost *= kOtherZoneFactor;
+        }
+        if (!best || (dealt && !bestDealt) || (dealt == bestDealt && cost < bestCost)) {
+            best = id;
+            bestCost = cost;
+            bestDealt = dealt;
+        }
+    }
+    return best;
+}
+
+std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
+                                     const std::set<upstream_id> &tried, instant now)
+{
+    std::optional<upstream_id> best;
+    double bestCost = 0;
+    for (const auto &[id, view] : state.upstreams) {
+        if (!isUsable(view, service, now) || tried.contains(id)) {
+            continue;
+        }
+        double cost = (1.0 + view.running) * std::max(1.0, view.callMs);
+        if (view.entry.zone != state.self.availabilityZone) {
+            cost *= kOtherZoneFactor;
+        }
+        if (!best || cost < bestCost) {
+            best = id;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::vector<std::size_t> startOrder(const std::vector<batch_item> &items, unsigned groupsWanted)
+{
+    struct group_cost
+    {
+        double longest = 0;
+        std::size_t first = 0;
+        bool spare = false;
+    };
+    const auto costOf = [](const batch_item &item) {
+        return item.expectedOutput > 0 ? static_cast<double>(item.expectedOutput)
+                                       : kUnguessedShare * item.tokens;
+    };
+    std::map<std::string, group_cost> groups;
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        const auto [found, fresh] = groups.try_emplace(items[i].group, group_cost{0, names.size(), false});
+        if (fresh) {
+            names.push_back(items[i].group);
+        }
+        found->second.longest = std::max(found->second.longest, costOf(items[i]));
+    }
+    // Groups that come back stand first and make up half of those wanted at most: they are never left out.
+    const std::size_t kept = groupsWanted / 2;
+    std::vector<std::string> spare;
+    for (std::size_t i = kept; i < names.size(); ++i) {
+        spare.push_back(names[i]);
+    }
+    ranges::sort(spare, std::greater<>{}, [&](const std::string &name) { return groups[name].longest; });
+    const std::size_t spareNumber = names.size() > groupsWanted ? names.size() - groupsWanted : 0;
+    for (std::size_t i = 0; i < std::min(spareNumber, spare.size()); ++i) {
+        groups[spare[i]].spare = true;
+    }
+    std::vector<std::size_t> order(items.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        const group_cost &a = groups[items[left].group];
+        const group_cost &b = groups[items[right].group];
+        if (a.spare != b.spare) {
+            return b.spare;
+        }
+        return costOf(items[left]) > costOf(items[right]);
+    });
+    return order;
+}
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_placement.h
@@ -0,0 +1,48 @@
+/// Where work goes: shares of upstreams for each model, and the choice of one upstream.
+#pragma once
+
+#include <jacinthvale/node.h>
+
+namespace jacinthvale::node {
+
+/// How much each model asks for; only ratios count.
+using model_work = std::map<model_id, double>;
+
+/// An upstream with the versions of its weights behind the named ones.
+struct dealt_upstream
+{
+    upstream_id id;
+    std::map<model_id, std::uint64_t> lag;
+};
+
+/// Deals upstreams to models in proportion to their work, at least one each where there are enough. An
+/// upstream stays with the model whose weights it has kept up with, so that the same input after a load gives
+/// the same deal.
+std::map<upstream_id, model_id> dealUpstreams(const std::vector<dealt_upstream> &upstreams,
+                                              const model_work &work);
+
+/// Work of each model by the batches handed in so far, and the deal of a service's upstreams by it.
+std::map<upstream_id, model_id> dealOf(const node_state &state, const service_id &service);
+
+/// @returns the service that a request of this route goes to, drawn by the weights of its services.
+service_id drawService(const route &by, std::uint64_t random);
+
+/// Median time between pieces over the upstreams that have a fresh one; 0 where none has.
+double medianPace(const node_state &state, const service_id &service, instant now);
+
+/// Pace of an upstream, or the median where its own is old or unknown.
+double paceOf(const upstream_view &view, double median, instant now);
+
+/// Upstream for a generation of this model with weights of at least this version; none where all are full.
+std::optional<upstream_id> placeRun(const node_state &state, const service_id &service, const model_id &model,
+                                    weight_version minVersion, const std::map<upstream_id, model_id> &deal,
+                                    instant now);
+
+/// Upstream for a forwarded call, other than those already tried; none where all rest.
+std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
+                                     const std::set<upstream_id> &tried, instant now);
+
+/// Order of starts: groups that must come first, then the longest, with the groups that may be left out last.
+std::vector<std::size_t> startOrder(const std::vector<batch_item> &items, unsigned groupsWanted);
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_reduce.cpp
@@ -0,0 +1,265 @@
+#include "node_step.h"
+
+#include <algorithm>
+
+namespace jacinthvale::node {
+
+namespace {
+
+/// Told to callers who come while the store cannot be asked.
+constexpr milliseconds kComeBackAfterStore{300};
+
+/// Time kept at the end of a graceful stop in which the last answers leave.
+constexpr milliseconds kStopReserve{1500};
+
+void noteStore(step &s, std::uint64_t storeNowMs)
+{
+    s.state.storeSeenAt = s.at.now;
+    if (storeNowMs != 0) {
+        s.state.storeNowMs = storeNowMs;
+        s.state.storeNowAt = s.at.now;
+    }
+}
+
+void onTick(step &s)
+{
+    followFeeds(s);
+    beat(s);
+    takeOrphans(s);
+    expireOwned(s);
+    watchCalls(s);
+    moveStragglers(s);
+    startRuns(s);
+    checkpoint(s);
+    pollPages(s);
+    conduct(s);
+    updateReadiness(s);
+    if (!s.state.stopping) {
+        return;
+    }
+    handOver(s);
+    const bool idle = s.state.owned.empty() && s.state.calls.empty() && s.state.pending.empty()
+                      && s.state.pages.empty();
+    if (idle || s.at.now >= s.state.stopAt) {
+        s.emit(end_process{});
+    }
+}
+
+void onStop(step &s)
+{
+    if (s.state.stopping) {
+        return;
+    }
+    s.state.stopping = true;
+    s.state.stopAt = s.at.now + s.state.self.stopGrace - kStopReserve;
+    s.state.nextBeatAt = s.at.now;
+    s.log("stopping", s.state.self.host.value,
+          "batches to hand over " + std::to_string(s.state.owned.size()));
+    updateReadiness(s);
+    handOver(s);
+}
+
+void onRows(step &s, purpose what, const rows_arrived &rows)
+{
+    noteStore(s, rows.storeNowMs);
+    std::visit(visitor{[&](const for_feed &of) { onFeedRows(s, of.table, rows); },
+                       [&](const for_page &of) { onPageRows(s, of, rows); },
+                       [&](const for_item &of) { onItemRows(s, of, rows); },
+                       [&](const for_load &of) { onLoadRows(s, of.batch, rows); },
+                       [&](const for_end &of) {
+                           for (const row_change &change : rows.rows) {
+                               onHeadRow(s, change.what);
+                           }
+                           continueEnd(s, of);
+                       },
+                       [](const auto &) {}},
+               what);
+}
+
+void onCommitted(step &s, purpose what, const rows_committed &committed)
+{
+    noteStore(s, committed.storeNowMs);
+    std::visit(visitor{[&](const for_beat &) { onBeatCommitted(s, committed); },
+                       [&](const for_accept &of) { onAcceptCommitted(s, of.batch, committed); },
+                       [&](const for_commit &of) { onListed(s, of.batch); },
+                       [&](const for_claim &of) { onClaimCommitted(s, of, committed); },
+                       [&](const for_lease &) { onLeaseCommitted(s, committed); },
+                       [&](const for_release &of) { dropOwned(s, of.batch, "handed over"); },
+                       [&](const for_end &of) {
+                           batch_head head = s.state.heads[of.batch];
+                           head.ended = true;
+                           head.rowVersion = committed.version;
+                           s.state.heads[of.batch] = head;
+                           s.log("batch-ended", of.batch.value);
+                           dropOwned(s, of.batch, "ended");
+                           s.emit(answer_ended{of.exchange});
+                       },
+                       [](const auto &) {}},
+               what);
+}
+
+void onConflict(step &s, purpose what, const rows_conflict &conflict)
+{
+    noteStore(s, 0);
+    const auto readHead = [&](const batch_id &id) {
+        for (const row &present : conflict.rows) {
+            if (present.key.table == table_id::heads && present.key.key == id.value) {
+                onHeadRow(s, present);
+            }
+        }
+    };
+    std::visit(visitor{[&](const for_beat &) { onBeatConflict(s, conflict); },
+                       [&](const for_accept &of) { onAcceptConflict(s, of.batch, conflict); },
+                       [&](const for_commit &of) { onListConflict(s, of.batch, conflict); },
+                       [&](const for_claim &of) { readHead(of.batch); },
+                       [&](const for_checkpoint &of) { readHead(of.batch); },
+                       [&](const for_lease &) { onLeaseConflict(s, conflict); },
+                       [&](const for_release &of) {
+                           readHead(of.batch);
+                           if (const auto found = s.state.owned.find(of.batch);
+                               found != s.state.owned.end()) {
+                               found->second.handingOver = false;
+                           }
+                       },
+                       [&](const for_end &of) {
+                           readHead(of.batch);
+                           continueEnd(s, of);
+                       },
+                       [](const auto &) {}},
+               what);
+}
+
+void onStoreFailed(step &s, purpose what, const store_failed &failed)
+{
+    const auto refuse = [&](exchange_id exchange) {
+        s.emit(refuse_call{exchange, failed.mayHappen ? refusal::may_have_run : refusal::not_run,
+                           kComeBackAfterStore});
+    };
+    s.emit(count{"store_failures"});
+    std::visit(visitor{[&](const for_feed &of) { onFeedFailed(s, of.table, failed); },
+                       [&](const for_beat &) {
+                           s.state.beatRunning = false;
+                           s.log("beat-failed", s.state.self.host.value, failed.reason);
+                       },
+                       [&](const for_accept &of) { onAcceptFailed(s, of.batch, failed); },
+                       [&](const for_commit &of) { onListFailed(s, of.batch); },
+                       [&](const for_lease &) { onLeaseFailed(s); },
+                       [&](const for_page &of) {
+                           s.log("page-not-read", s.state.pages[of.exchange].batch.value, failed.reason);
+                           s.state.pages.erase(of.exchange);
+                           refuse(of.exchange);
+                       },
+                       [&](const for_item &of) {
+                           s.log("item-not-read", of.item.value, failed.reason);
+                           refuse(of.exchange);
+                       },
+                       [&](const for_end &of) {
+                           s.log("end-not-stored", of.batch.value, failed.reason);
+                           refuse(of.exchange);
+                       },
+                       [&](const for_load &of) {
+                           s.log("batch-not-loaded", of.batch.value, failed.reason);
+                           s.state.loading.erase(of.batch);
+                       },
+                       [&](const for_release &of) {
+                           if (const auto found = s.state.owned.find(of.batch);
+                               found != s.state.owned.end()) {
+                               found->second.handingOver = false;
+                           }
+                       },
+                       [](const auto &) {}},
+               what);
+}
+
+} // namespace
+
+node_state makeNodeState(const node_identity &self)
+{
+    node_state state;
+    state.self = self;
+    return state;
+}
+
+effects reduce(node_state &state, const event &what, const context &at)
+{
+    step s{state, at, {}};
+    // Takes the purpose of an operation that ends; an operation that was given up has none.
+    const auto close = [&](op_id op, const auto &handle) {
+        const auto node = state.ops.extract(op);
+        if (!node.empty()) {
+            handle(node.mapped());
+        }
+    };
+    std::visit(visitor{[&](const started &event) {
+                           state.incarnation = event.incarnation;
+                           state.storeSeenAt = at.now;
+                           startFeeds(s);
+                           updateReadiness(s);
+                           followFeeds(s);
+                       },
+                       [&](const tick &) { onTick(s); },
+                       [&](const call_received &event) { onCallReceived(s, event); },
+                       [&](const batch_received &event) { onBatchReceived(s, event); },
+                       [&](const page_asked &event) { onPageAsked(s, event); },
+                       [&](const item_asked &event) { onItemAsked(s, event); },
+                       [&](const batch_end_asked &event) { onBatchEndAsked(s, event); },
+                       [&](const caller_gone &event) { onCallerGone(s, event); },
+                       [&](const rows_arrived &event) {
+                           close(event.op, [&](const purpose &of) { onRows(s, of, event); });
+                           followFeeds(s);
+                       },
+                       [&](const history_gone &event) {
+                           close(event.op, [&](const purpose &of) {
+                               noteStore(s, 0);
+                               if (const auto *feed = std::get_if<for_feed>(&of)) {
+                                   onFeedGone(s, feed->table);
+                               }
+                           });
+                       },
+                       [&](const rows_committed &event) {
+                           close(event.op, [&](const purpose &of) { onCommitted(s, of, event); });
+                       },
+                       [&](const rows_conflict &event) {
+                           close(event.op, [&](const purpose &of) { onConflict(s, of, event); });
+                       },
+                       [&](const store_failed &event) {
+                           close(event.op, [&](const purpose &of) { onStoreFailed(s, of, event); });
+                       },
+                       [&](const run_progressed &event) {
+                           const auto found = state.ops.find(event.op);
+                           if (found != state.ops.end()) {
+                               if (const auto *run = std::get_if<for_run>(&found->second)) {
+                                   const for_run of = *run;
+                                   onRunProgress(s, of, event);
+                               }
+                           }
+                       },
+                       [&](const run_ended &event) {
+                           close(event.op, [&](const purpose &of) {
+                               if (const auto *run = std::get_if<for_run>(&of)) {
+                                   onRunEnded(s, *run, event.end);
+                               }
+                           });
+                       },
+                       [&](const call_ended &event) {
+                           close(event.op, [&](const purpose &of) {
+                               if (const auto *call = std::get_if<for_call>(&of)) {
+                                   onCallEnded(s, *call, event);
+                               } else if (const auto *order = std::get_if<for_order>(&of)) {
+                                   onOrderEnded(s, *order, event);
+                               }
+                           });
+                       },
+                       [&](const load_reported &event) {
+                           close(event.op, [&](const purpose &of) {
+                               if (const auto *order = std::get_if<for_order>(&of)) {
+                                   onLoadReported(s, *order, event);
+                               }
+                           });
+                       },
+                       [&](const stop_requested &) { onStop(s); }},
+               what);
+    return std::move(s.out);
+}
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_runs.cpp
@@ -0,0 +1,321 @@
+#include "node_placement.h"
+#include "node_step.h"
+
+#include <algorithm>
+
+namespace jacinthvale::node {
+
+namespace {
+
+/// Rest of an upstream that refused a run: its queue drains in the time of a few pieces.
+constexpr milliseconds kFullRest{150};
+
+/// Rest after a broken run, times the number of breaks in a row, up to the longest.
+constexpr milliseconds kBrokenRest{150};
+constexpr unsigned kMostStrikes = 8;
+
+/// Rest of an upstream that fell silent: a crash lasts some seconds.
+constexpr milliseconds kSilentRest{1500};
+
+/// Rest of an address where another server answered, until its row is read anew.
+constexpr milliseconds kMisdirectedRest{1000};
+
+/// A run that brings no piece for this long is given up. A change of weights holds runs for about a second.
+constexpr milliseconds kRunSilence{2000};
+
+/// Weight of a new reading in the smoothed pace: a slow upstream shows after a few pieces.
+constexpr double kPaceWeight = 0.2;
+
+/// An upstream this much slower than the median is left by its runs, if a place at one not slower than the
+/// second figure is free. Upstreams differ by 1.3 as built, and slow down 2.5 times or more in trouble.
+constexpr double kSlowFactor = 1.7;
+constexpr double kGoodFactor = 1.35;
+
+/// A run stays where it is for at least this long, and moves this often at most: each move reads its prompt
+/// again.
+constexpr milliseconds kLeastStay{250};
+constexpr unsigned kMostMoves = 4;
+
+owned_item *itemOf(step &s, const for_run &what, op_id op)
+{
+    const auto found = s.state.owned.find(what.batch);
+    if (found == s.state.owned.end()) {
+        return nullptr;
+    }
+    owned_item &item = found->second.items.at(what.item);
+    return item.phase == item_phase::running && item.run == op ? &item : nullptr;
+}
+
+void forget(owned_item &item)
+{
+    item.text.clear();
+    item.pieces = 0;
+    item.versions.clear();
+}
+
+void release(step &s, const upstream_id &id)
+{
+    if (const auto found = s.state.upstreams.find(id);
+        found != s.state.upstreams.end() && found->second.running > 0) {
+        --found->second.running;
+    }
+}
+
+/// Ends the books of a run that is over or was stopped; the item waits again.
+void leave(step &s, owned_item &item)
+{
+    release(s, item.upstream);
+    s.state.ops.erase(item.run);
+    item.run = {};
+    item.phase = item_phase::waiting;
+}
+
+void finish(owned_batch &batch, std::size_t index, item_state outcome)
+{
+    owned_item &item = batch.items[index];
+    item.phase = item_phase::finished;
+    item.outcome = outcome;
+    batch.finished.push_back(index);
+}
+
+void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target)
+{
+    owned_item &item = batch.items[index];
+    upstream_view &view = s.state.upstreams.at(target);
+    ++view.running;
+    item.phase = item_phase::running;
+    item.upstream = target;
+    item.startedAt = s.at.now;
+    item.lastPieceAt = s.at.now;
+    item.piecesAtStart = item.pieces;
+    item.run = s.open(for_run{batch.what.id, index, target});
+    s.emit(run_item{item.run, view.entry.address, target, batch.what.host, item.item, item.pieces,
+                    kRunSilence});
+}
+
+void notePace(step &s, const upstream_id &id, double milliseconds)
+{
+    const auto found = s.state.upstreams.find(id);
+    if (found == s.state.upstreams.end()) {
+        return;
+    }
+    upstream_view &view = found->second;
+    view.paceMs = view.paceMs > 0 ? view.paceMs + kPaceWeight * (milliseconds - view.paceMs) : milliseconds;
+    view.paceAt = s.at.now;
+    view.strikes = 0;
+}
+
+struct placement_key
+{
+    service_id service;
+    model_id model;
+    weight_version minVersion;
+
+    auto operator<=>(const placement_key &) const = default;
+};
+
+} // namespace
+
+void rest(step &s, const upstream_id &id, milliseconds time, const std::string &why)
+{
+    const auto found = s.state.upstreams.find(id);
+    if (found == s.state.upstreams.end()) {
+        return;
+    }
+    found->second.restUntil = std::max(found->second.restUntil, s.at.now + time);
+    s.log("upstream-rests", id.value, why + ", " + std::to_string(time.count()) + " ms");
+}
+
+void prepareOrder(owned_batch &batch)
+{
+    std::vector<batch_item> items;
+    std::ranges::transform(batch.items, std::back_inserter(items), &owned_item::item);
+    batch.order = startOrder(items, batch.what.groupsWanted);
+    for (std::size_t i = 0; i < batch.order.size(); ++i) {
+        batch.items[batch.order[i]].rank = i;
+    }
+}
+
+void startRuns(step &s)
+{
+    node_state &state = s.state;
+    if (state.stopping || !state.configKnown) {
+        return;
+    }
+    std::map<service_id, std::map<upstream_id, model_id>> deals;
+    std::set<placement_key> full;
+    // Oldest batch first: its trainer waits longest.
+    std::vector<owned_batch *> batches;
+    for (auto &[id, batch] : state.owned) {
+        batches.push_back(&batch);
+    }
+    std::ranges::sort(batches, {}, &owned_batch::acceptedAtMs);
+    for (owned_batch *batch : batches) {
+        const route *by = findRoute(state.config, batch->what.host, batch->what.path);
+        if (by == nullptr || batch->handingOver) {
+            continue;
+        }
+        for (const std::size_t index : batch->order) {
+            owned_item &item = batch->items[index];
+            if (item.phase != item_phase::waiting) {
+                continue;
+            }
+            const service_id service = drawService(*by, stableHash(item.item.id.value));
+            const placement_key key{service, batch->what.model, batch->what.minVersion};
+            if (full.contains(key)) {
+                continue;
+            }
+            if (!deals.contains(service)) {
+                deals[service] = dealOf(state, service);
+            }
+            const auto target = placeRun(state, service, batch->what.model, batch->what.minVersion,
+                                         deals[service], s.at.now);
+            if (!target) {
+                full.insert(key);
+                continue;
+            }
+            startRun(s, *batch, index, *target);
+        }
+    }
+}
+
+void moveStragglers(step &s)
+{
+    node_state &state = s.state;
+    for (auto &[id, batch] : state.owned) {
+        const route *by = findRoute(state.config, batch.what.host, batch.what.path);
+        if (by == nullptr || batch.handingOver) {
+            continue;
+        }
+        for (const std::size_t index : batch.order) {
+            owned_item &item = batch.items[index];
+            if (item.phase != item_phase::running || item.moves >= kMostMoves
+                || s.at.now - item.startedAt < kLeastStay) {
+                continue;
+            }
+            const service_id service = drawService(*by, stableHash(item.item.id.value));
+            const double median = medianPace(state, service, s.at.now);
+            const auto here = state.upstreams.find(item.upstream);
+            if (median <= 0 || here == state.upstreams.end()
+                || paceOf(here->second, median, s.at.now) < kSlowFactor * median) {
+                continue;
+            }
+            const auto target = placeRun(state, service, batch.what.model, batch.what.minVersion,
+                                         dealOf(state, service), s.at.now);
+            if (!target || *target == item.upstream
+                || paceOf(state.upstreams.at(*target), median, s.at.now) > kGoodFactor * median) {
+                continue;
+            }
+            s.log("run-moved", item.item.id.value,
+                  item.upstream.value + " to " + target->value + " after piece "
+                          + std::to_string(item.pieces));
+            s.emit(count{"runs_moved"});
+            ++item.moves;
+            stopRun(s, item);
+            startRun(s, batch, index, *target);
+        }
+    }
+}
+
+void stopRun(step &s, owned_item &item)
+{
+    if (item.phase == item_phase::running) {
+        s.emit(cancel_call{item.run});
+        leave(s, item);
+    }
+}
+
+void onRunProgress(step &s, const for_run &what, const run_progressed &progress)
+{
+    owned_item *item = itemOf(s, what, progress.op);
+    if (item == nullptr) {
+        return;
+    }
+    owned_batch &batch = s.state.owned.at(what.batch);
+    const route *by = findRoute(s.state.config, batch.what.host, batch.what.path);
+    for (const run_piece &piece : progress.pieces) {
+        const bool stale = piece.version < batch.what.minVersion.value;
+        const bool mixed = by != nullptr && by->singleVersion && !item->versions.empty()
+                           && !item->versions.contains(piece.version);
+        if (piece.number != item->pieces + 1 || stale || mixed) {
+            s.log("run-unfit", item->item.id.value,
+                  "piece " + std::to_string(piece.number) + " after " + std::to_string(item->pieces)
+                          + ", version " + std::to_string(piece.version));
+            if (stale || mixed) {
+                forget(*item);
+                rest(s, what.upstream, kMisdirectedRest, "weights do not fit");
+            }
+            stopRun(s, *item);
+            return;
+        }
+        if (item->pieces > 0) {
+            item->text += '\n';
+        }
+        item->text += piece.data;
+        item->versions.insert(piece.version);
+        ++item->pieces;
+    }
+    // The first piece waits for its place and the prompt: only later ones tell the pace.
+    if (item->pieces - progress.pieces.size() > item->piecesAtStart && !progress.pieces.empty()) {
+        notePace(s, what.upstream,
+                 static_cast<double>((s.at.now - item->lastPieceAt).count())
+                         / static_cast<double>(progress.pieces.size()));
+    }
+    item->lastPieceAt = s.at.now;
+}
+
+void onRunEnded(step &s, const for_run &what, call_end end)
+{
+    const auto found = s.state.owned.find(what.batch);
+    if (found == s.state.owned.end()) {
+        return;
+    }
+    owned_batch &batch = found->second;
+    owned_item &item = batch.items.at(what.item);
+    const std::string id = item.item.id.value;
+    leave(s, item);
+    switch (end) {
+    case call_end::complete:
+        s.emit(observe{"item_run_ms", static_cast<double>((s.at.now - item.startedAt).count())});
+        finish(batch, what.item, item_state::succeeded);
+        listFinished(s, batch);
+        break;
+    case call_end::not_run:
+        rest(s, what.upstream, kFullRest, "refused a run");
+        break;
+    case call_end::misdirected:
+        rest(s, what.upstream, kMisdirectedRest, "another server at its address");
+        break;
+    case call_end::failed: {
+        const route *by = findRoute(s.state.config, batch.what.host, batch.what.path);
+        ++item.failures;
+        s.log("run-failed", id, what.upstream.value + ", failure " + std::to_string(item.failures));
+        if (by != nullptr && item.failures >= by->maxAttempts) {
+            finish(batch, what.item, item_state::lost);
+            listFinished(s, batch);
+        }
+        break;
+    }
+    case call_end::impossible:
+        s.log("item-impossible", id, what.upstream.value);
+        finish(batch, what.item, item_state::lost);
+        listFinished(s, batch);
+        break;
+    case call_end::broken:
+    case call_end::silent: {
+        s.log("run-broken", id,
+              what.upstream.value + (end == call_end::silent ? " silent" : " broken") + " after piece "
+                      + std::to_string(item.pieces));
+        const auto view = s.state.upstreams.find(what.upstream);
+        if (view != s.state.upstreams.end()) {
+            view->second.strikes = std::min(view->second.strikes + 1, kMostStrikes);
+            rest(s, what.upstream, end == call_end::silent ? kSilentRest : kBrokenRest * view->second.strikes,
+                 "run broken");
+        }
+        break;
+    }
+    }
+    startRuns(s);
+}
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_runtime.h
@@ -0,0 +1,92 @@
+/// Runs the reducer of node.h on an event loop, with an adapter for the platform's wire.
+#pragma once
+
+#include "log_limiter.h"
+#include "node_port.h"
+#include "node_settings.h"
+#include "node_store_link.h"
+#include <jacinthvale/http_server.h>
+#include <jacinthvale/metrics.h>
+
+#include <deque>
+#include <random>
+
+namespace jacinthvale::node {
+
+/// One process. Single-threaded.
+class node_runtime
+{
+public:
+    node_runtime(node_settings settings, std::unique_ptr<wire_port> port);
+    ~node_runtime();
+    node_runtime(const node_runtime &) = delete;
+    node_runtime &operator=(const node_runtime &) = delete;
+
+    /// Opens the sockets.
+    absl::Status start();
+
+    /// Runs until the reducer asks for the end.
+    int run();
+
+private:
+    struct performer;
+    friend struct performer;
+
+    /// A running call to an upstream.
+    struct running_call
+    {
+        http_call_handle handle;
+        std::unique_ptr<run_decoder> decoder;
+    };
+
+    instant now() const;
+    void post(event what);
+    void processQueue();
+    std::unique_ptr<http_server> listen(const endpoint &where,
+                                        std::function<void(http_request_received)> onRequest,
+                                        absl::Status &status);
+    void onEntry(const http_request_received &request);
+    void onPeer(const http_request_received &request);
+    void reply(reply_http answer);
+    void startStore(const store_effect &what, milliseconds deadline);
+    void startRun(const run_item &what);
+    void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode);
+    void cancel(op_id op);
+    void writeLog(const log_decision &what);
+    void finishStop();
+
+    static void queueReady(evutil_socket_t, short, void *self);
+    static void stopSignalled(evutil_socket_t, short, void *self);
+    static void reloadSignalled(evutil_socket_t, short, void *self);
+
+    node_settings m_settings;
+    std::unique_ptr<wire_port> m_port;
+    event_base *m_base;
+    std::mt19937_64 m_random;
+    node_state m_state;
+    metrics_registry m_metrics;
+    log_limiter m_logLimit;
+    std::unique_ptr<http_client> m_client;
+    std::unique_ptr<store_link> m_store;
+    std::unique_ptr<http_server> m_entryServer;
+    std::unique_ptr<http_server> m_readinessServer;
+    std::unique_ptr<http_server> m_peerServer;
+    std::unique_ptr<http_server> m_metricsServer;
+    std::deque<event> m_queue;
+    std::map<op_id, running_call> m_calls;
+    std::unique_ptr<event_timer> m_tickTimer;
+    std::unique_ptr<event_timer> m_endTimer;
+    ::event *m_queueEvent = nullptr;
+    ::event *m_termEvent = nullptr;
+    ::event *m_intEvent = nullptr;
+    ::event *m_hupEvent = nullptr;
+    instant m_stopSince{};
+    bool m_ready = false;
+    bool m_stopping = false;
+    bool m_ending = false;
+};
+
+/// Body of the daemon's main: reads the settings file, runs, @returns the exit code.
+int nodeMain(int argc, char **argv, std::unique_ptr<wire_port> port);
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_step.h
@@ -0,0 +1,121 @@
+/// Parts of the daemon's reducer. Each file holds one of them; all share the state and append effects.
+#pragma once
+
+#include <jacinthvale/node.h>
+
+namespace jacinthvale::node {
+
+/// One call of reduce().
+struct step
+{
+    node_state &state;
+    const context &at;
+    effects out;
+
+    /// Draws a number for an operation.
+    op_id open(purpose what)
+    {
+        const op_id op{++state.lastOp};
+        state.ops.emplace(op, std::move(what));
+        return op;
+    }
+
+    template <typename Effect>
+    void emit(Effect what)
+    {
+        out.emplace_back(std::move(what));
+    }
+
+    void log(std::string what, std::string subject, std::string detail = {})
+    {
+        out.emplace_back(log_decision{std::move(what), std::move(subject), std::move(detail)});
+    }
+};
+
+/// Overloads of a visitor.
+template <typename... Handlers>
+struct visitor : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+visitor(Handlers...) -> visitor<Handlers...>;
+
+/// Present time of the store's clock, as far as it is known.
+std::uint64_t storeTime(const node_state &state, instant now);
+
+// Tables that are followed (node_feeds.cpp).
+void startFeeds(step &s);
+void followFeeds(step &s);
+void onFeedRows(step &s, table_id table, const rows_arrived &what);
+void onFeedGone(step &s, table_id table);
+void onFeedFailed(step &s, table_id table, const store_failed &what);
+table_feed &feedOf(node_state &state, table_id table);
+
+// Daemons (node_members.cpp).
+void beat(step &s);
+void onBeatCommitted(step &s, const rows_committed &what);
+void onBeatConflict(step &s, const rows_conflict &what);
+void onMemberRow(step &s, const row &what);
+bool isAlive(const node_state &state, const owner_name &who, instant now);
+/// Delay before this host may take a batch over; rises with its place among the living hosts.
+milliseconds takeOverDelay(const node_state &state, const batch_id &id, instant now);
+void updateReadiness(step &s);
+
+// Batches: handed in, listed, ended (node_batches.cpp), read (node_pages.cpp), owned anew
+// (node_takeover.cpp).
+void onBatchReceived(step &s, const batch_received &what);
+void onAcceptCommitted(step &s, const batch_id &id, const rows_committed &what);
+void onAcceptConflict(step &s, const batch_id &id, const rows_conflict &what);
+void onAcceptFailed(step &s, const batch_id &id, const store_failed &what);
+void onHeadRow(step &s, const row &what);
+void listFinished(step &s, owned_batch &batch);
+void onListed(step &s, const batch_id &id);
+void onListConflict(step &s, const batch_id &id, const rows_conflict &what);
+void onListFailed(step &s, const batch_id &id);
+void onBatchEndAsked(step &s, const batch_end_asked &what);
+void continueEnd(step &s, const for_end &what);
+void dropOwned(step &s, const batch_id &id, const std::string &why);
+void expireOwned(step &s);
+
+void onPageAsked(step &s, const page_asked &what);
+void onPageRows(step &s, const for_page &what, const rows_arrived &rows);
+void onItemAsked(step &s, const item_asked &what);
+void onItemRows(step &s, for_item what, const rows_arrived &rows);
+void serveReaders(step &s, owned_batch &batch);
+void pollPages(step &s);
+
+void takeOrphans(step &s);
+void onClaimCommitted(step &s, const for_claim &what, const rows_committed &committed);
+void onLoadRows(step &s, const batch_id &id, const rows_arrived &rows);
+void loadBatch(step &s, batch_head head);
+void handOver(step &s);
+void checkpoint(step &s);
+
+// Runs of items (node_runs.cpp).
+void startRuns(step &s);
+void moveStragglers(step &s);
+void onRunProgress(step &s, const for_run &what, const run_progressed &progress);
+void onRunEnded(step &s, const for_run &what, call_end end);
+void stopRun(step &s, owned_item &item);
+void prepareOrder(owned_batch &batch);
+
+// Forwarded calls (node_calls.cpp).
+void onCallReceived(step &s, const call_received &what);
+void onCallEnded(step &s, const for_call &what, const call_ended &end);
+void watchCalls(step &s);
+void onCallerGone(step &s, const caller_gone &what);
+
+// Weights (node_weights.cpp).
+void conduct(step &s);
+void onLeaseRow(step &s, const row &what);
+void onLeaseCommitted(step &s, const rows_committed &what);
+void onLeaseConflict(step &s, const rows_conflict &what);
+void onLeaseFailed(step &s);
+void onLoadReported(step &s, const for_order &what, const load_reported &report);
+void onOrderEnded(step &s, const for_order &what, const call_ended &end);
+
+/// Takes an upstream off for a while because of what a request showed.
+void rest(step &s, const upstream_id &id, milliseconds time, const std::string &why);
+
+} // namespace jacinthvale::node
--- /dev/null
+++ b/src/node_takeover.cpp
@@ -0,0 +1,276 @@
+#include "node_placement.h"
+#include "node_rows.h"
+#include "node_step.h"
+
+#include <algorithm>
+
+namespace jacinthvale::node {
+
+namespace {
+
+constexpr milliseconds kClaimDeadline{2000};
+constexpr milliseconds kReleaseDeadline{3000};
+
+/// Pause before a claim that failed is tried again.
+constexpr milliseconds kClaimAgain{300};
+
+/// Time between two stored copies of a batch's unfinished texts: a killed owner costs at most this much of
+/// each run.
+constexpr milliseconds kCheckpointPeriod{1000};
+
+/// Items with fewer pieces than this are not worth storing: they are made again in less than half a second.
+constexpr std::uint64_t kPiecesWorthKeeping = 6;
+
+/// Bytes of unfinished texts in one transaction of 1 MB, encoded a third larger.
+constexpr std::size_t kMostProgressBytes = 500'000;
+
+std::vector<item_progress> progressOf(const owned_batch &batch)
+{
+    std::vector<item_progress> result;
+    std::size_t bytes = 0;
+    for (const owned_item &item : batch.items) {
+        const bool open = item.phase == item_phase::waiting || item.phase == item_phase::running;
+        if (!open || (item.pieces < kPiecesWorthKeeping && item.failures == 0)
+            || bytes + item.text.size() > kMostProgressBytes) {
+            continue;
+        }
+        bytes += item.text.size();
+        result.push_back({item.item.id, item.text, item.pieces,
+                          std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()),
+                          item.failures});
+    }
+    return result;
+}
+
+void putProgress(commit_rows &commit, const owned_batch &batch)
+{
+    const std::vector<std::string> fragments = fragmentsOf(encodeProgress(progressOf(batch)));
+    for (std::size_t i = 0; i < fragments.size(); ++i) {
+        commit.puts.push_back({table_id::items, progressKey(batch.what.id, i), fragments[i]});
+    }
+}
+
+void claim(step &s, const batch_head &head)
+{
+    batch_head wanted = head;
+    wanted.owner = {s.state.self.host, s.state.incarnation};
+    ++wanted.epoch;
+    const batch_id &id = head.what.id;
+    s.log("batch-claim", id.value,
+          "from " + head.owner.host.value + " epoch " + std::to_string(wanted.epoch));
+    const op_id op = s.open(for_claim{id, wanted});
+    s.emit(commit_rows{op,
+                       partOf(id),
+                       {{table_id::heads, id.value, head.rowVersion}},
+                       {{table_id::heads, id.value, encodeHead(wanted)}},
+                       kClaimDeadline});
+}
+
+void continueLoading(step &s, loading_batch &loading)
+{
+    const batch_id &id = loading.head.what.id;
+    const op_id op = s.open(for_load{id});
+    if (loading.readingResults) {
+        s.emit(read_rows{op, table_id::results, partOf(id),
+                         loading.nextFrom.empty() ? resultKey(id, 0, 0) : loading.nextFrom, endKey(id)});
+        return;
+    }
+    s.emit(read_rows{op, table_id::items, partOf(id),
+                     loading.nextFrom.empty() ? firstItemsKey(id) : loading.nextFrom, endKey(id)});
+}
+
+void finishLoading(step &s, const batch_id &id)
+{
+    const auto node = s.state.loading.extract(id);
+    loading_batch &loading = node.mapped();
+    auto items = decodeItems(loading.itemBytes);
+    if (!items) {
+        s.log("items-unreadable", id.value, "batch cannot be run");
+        return;
+    }
+    owned_batch batch;
+    batch.what = loading.head.what;
+    batch.epoch = loading.head.epoch;
+    batch.headVersion = loading.head.rowVersion;
+    batch.acceptedAtMs = loading.head.acceptedAtMs;
+    std::map<item_id, std::size_t> index;
+    for (batch_item &item : *items) {
+        index.emplace(item.id, batch.items.size());
+        owned_item next;
+        next.item = std::move(item);
+        batch.items.push_back(std::move(next));
+    }
+    std::vector<item_progress> none;
+    auto kept = decodeProgress(loading.progressBytes);
+    for (item_progress &progress : kept ? *kept : none) {
+        const auto found = index.find(progress.id);
+        if (found == index.end()) {
+            continue;
+        }
+        owned_item &item = batch.items[found->second];
+        item.text = std::move(progress.text);
+        item.pieces = progress.pieces;
+        item.versions = {progress.versions.begin(), progress.versions.end()};
+        item.failures = progress.failures;
+    }
+    for (item_result &result : loading.results) {
+        if (const auto found = index.find(result.id); found != index.end()) {
+            owned_item &item = batch.items[found->second];
+            item.phase = item_phase::listed;
+            item.outcome = result.state;
+            item.text.clear();
+        }
+        batch.listed.push_back(std::move(result));
+    }
+    s.log("batch-taken-over", id.value,
+          "listed " + std::to_string(batch.listed.size()) + " of " + std::to_string(batch.items.size()));
+    s.emit(count{"batches_taken_over"});
+    s.state.owned.insert_or_assign(id, std::move(batch));
+    prepareOrder(s.state.owned.at(id));
+    startRuns(s);
+}
+
+} // namespace
+
+void takeOrphans(step &s)
+{
+    node_state &state = s.state;
+    if (state.stopping || !state.configKnown || !feedOf(state, table_id::daemons).synced) {
+        return;
+    }
+    for (auto &[id, head] : state.heads) {
+        if (head.ended || state.owned.contains(id) || state.loading.contains(id)
+            || state.pending.contains(id)) {
+            continue;
+        }
+        const owner_name self{state.self.host, state.incarnation};
+        if (head.owner == self) {
+            // A write of this process without an answer took effect after all.
+            loadBatch(s, head);
+            continue;
+        }
+        if (isAlive(state, head.owner, s.at.now)) {
+            head.orphanSince.reset();
+            continue;
+        }
+        if (!head.orphanSince) {
+            head.orphanSince = s.at.now;
+        }
+        if (s.at.now - *head.orphanSince >= takeOverDelay(state, id, s.at.now)) {
+            // A claim that comes to nothing is tried again after this pause.
+            head.orphanSince = s.at.now + kClaimAgain;
+            claim(s, head);
+        }
+    }
+}
+
+void onClaimCommitted(step &s, const for_claim &what, const rows_committed &committed)
+{
+    batch_head head = what.wanted;
+    head.rowVersion = committed.version;
+    batch_head &known = s.state.heads[what.batch];
+    if (known.rowVersion > head.rowVersion) {
+        return;
+    }
+    known = head;
+    loadBatch(s, std::move(head));
+}
+
+void loadBatch(step &s, batch_head head)
+{
+    const batch_id id = head.what.id;
+    loading_batch loading;
+    loading.head = std::move(head);
+    const auto stored = s.state.loading.insert_or_assign(id, std::move(loading)).first;
+    continueLoading(s, stored->second);
+}
+
+void onLoadRows(step &s, const batch_id &id, const rows_arrived &rows)
+{
+    const auto found = s.state.loading.find(id);
+    if (found == s.state.loading.end()) {
+        return;
+    }
+    loading_batch &loading = found->second;
+    for (const row_change &change : rows.rows) {
+        if (loading.readingResults) {
+            break;
+        }
+        if (isProgressKey(id, change.what.key.key)) {
+            loading.progressBytes += change.what.value;
+        } else {
+            loading.itemBytes += change.what.value;
+        }
+    }
+    if (loading.readingResults) {
+        result_reader reader;
+        for (const row_change &change : rows.rows) {
+            reader.add(change.what);
+        }
+        std::vector<item_result> results = reader.finish();
+        std::ranges::move(results, std::back_inserter(loading.results));
+    }
+    if (rows.more && !rows.rows.empty()) {
+        // A result whose last fragments are on the next page is read again from its first one.
+        loading.nextFrom = loading.readingResults ? resultKey(id, loading.results.size(), 0)
+                                                  : rows.rows.back().what.key.key + '\1';
+        continueLoading(s, loading);
+        return;
+    }
+    loading.nextFrom.clear();
+    if (!loading.readingResults) {
+        loading.readingResults = true;
+        continueLoading(s, loading);
+        return;
+    }
+    const batch_head &known = s.state.heads[id];
+    if (known.rowVersion > loading.head.rowVersion && (known.ended || known.epoch != loading.head.epoch)) {
+        s.log("batch-not-taken-over", id.value, known.ended ? "ended meanwhile" : "owned anew meanwhile");
+        s.state.loading.erase(found);
+        return;
+    }
+    loading.head.rowVersion = std::max(loading.head.rowVersion, known.rowVersion);
+    finishLoading(s, id);
+}
+
+void handOver(step &s)
+{
+    for (auto &[id, batch] : s.state.owned) {
+        if (batch.handingOver || batch.commit.value != 0) {
+            continue;
+        }
+        batch.handingOver = true;
+        batch_head released = s.state.heads[id];
+        released.owner = {};
+        const op_id op = s.open(for_release{id});
+        commit_rows commit{op,
+                           partOf(id),
+                           {{table_id::heads, id.value, batch.headVersion}},
+                           {{table_id::heads, id.value, encodeHead(released)}},
+                           kReleaseDeadline};
+        putProgress(commit, batch);
+        s.emit(std::move(commit));
+    }
+}
+
+void checkpoint(step &s)
+{
+    for (auto &[id, batch] : s.state.owned) {
+        if (batch.handingOver || batch.nextCheckpoint > s.at.now) {
+            continue;
+        }
+        batch.nextCheckpoint = s.at.now + kCheckpointPeriod;
+        if (progressOf(batch).empty()) {
+            continue;
+        }
+        commit_rows commit{s.open(for_checkpoint{id}),
+                           partOf(id),
+                           {{table_id::heads, id.value, batch.headVersion}},
+                           {},
+                           kCheckpointPeriod};
+        putProgress(commit, batch);
+        s.emit(std::move(commit));
+    }
+}
+
+} // namespace jacinthvale::node
