Claims one at a time; an older load's answers are not for a newer one; nobody dies while the table cannot be read

Cause: while the store was away daemons took each other for dead and claimed the same batch several times; two loads of one batch ran at once and their answers were added up, so that listed items were run and listed again. Ruled out: the order of positions in one owner's transactions; the log shows the second listing under a newer epoch.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -63,6 +63,8 @@
     std::uint64_t rowVersion = 0;
     /// When this process first saw that the owner is gone.
     std::optional<instant> orphanSince;
+    /// A claim of this process is under way.
+    bool claiming = false;
 };
 
 enum class item_phase : std::uint8_t { waiting, running, finished, listed };
@@ -132,6 +134,8 @@
     std::vector<item_result> results;
     std::string nextFrom;
     bool readingResults = false;
+    /// The read that is awaited; answers of an earlier loading of the same batch are not for this one.
+    op_id op;
 };
 
 /// Health of an upstream as requests show it.
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -185,6 +185,7 @@
     if (known.owner == head->owner) {
         head->orphanSince = known.orphanSince;
     }
+    head->claiming = known.claiming;
     known = *std::move(head);
     const auto found = s.state.owned.find(id);
     if (found == s.state.owned.end() || found->second.headVersion > known.rowVersion) {
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -25,9 +25,6 @@
 /// Pause after a failed read.
 constexpr milliseconds kRetryPause{100};
 
-/// Answers further apart than this do not count as steady: what others wrote meanwhile was not seen.
-constexpr milliseconds kSteadyGap{1500};
-
 constexpr std::string_view kTableNames[]
         = {"operators", "upstreams", "daemons", "heads", "items", "results", "leases"};
 
--- a/src/node_members.cpp
+++ b/src/node_members.cpp
@@ -98,8 +98,11 @@
     if (found == state.members.end() || found->second.incarnation != who.incarnation) {
         return false;
     }
-    // While the table could not be read nobody's beat was seen: silence counts from the end of that.
+    // While the table cannot be read nobody's beat is seen: nobody is dead, and silence counts from the end of that.
     const table_feed &feed = *std::ranges::find(state.feeds, table_id::daemons, &table_feed::table);
+    if (now - feed.answeredAt > kSteadyGap) {
+        return true;
+    }
     return now - std::max(found->second.changedAt, feed.steadySince) < kDeadAfter;
 }
 
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -82,7 +82,10 @@
     std::visit(visitor{[&](const for_beat &) { onBeatCommitted(s, committed); },
                        [&](const for_accept &of) { onAcceptCommitted(s, of.batch, committed); },
                        [&](const for_commit &of) { onListed(s, of.batch); },
-                       [&](const for_claim &of) { onClaimCommitted(s, of, committed); },
+                       [&](const for_claim &of) {
+                           onClaimEnded(s, of.batch);
+                           onClaimCommitted(s, of, committed);
+                       },
                        [&](const for_lease &) { onLeaseCommitted(s, committed); },
                        [&](const for_release &of) { dropOwned(s, of.batch, "handed over"); },
                        [&](const for_end &of) {
@@ -111,7 +114,10 @@
     std::visit(visitor{[&](const for_beat &) { onBeatConflict(s, conflict); },
                        [&](const for_accept &of) { onAcceptConflict(s, of.batch, conflict); },
                        [&](const for_commit &of) { onListConflict(s, of.batch, conflict); },
-                       [&](const for_claim &of) { readHead(of.batch); },
+                       [&](const for_claim &of) {
+                           readHead(of.batch);
+                           onClaimEnded(s, of.batch);
+                       },
                        [&](const for_checkpoint &of) { readHead(of.batch); },
                        [&](const for_lease &) { onLeaseConflict(s, conflict); },
                        [&](const for_release &of) {
@@ -143,6 +149,7 @@
                        },
                        [&](const for_accept &of) { onAcceptFailed(s, of.batch, failed); },
                        [&](const for_commit &of) { onListFailed(s, of.batch); },
+                       [&](const for_claim &of) { onClaimEnded(s, of.batch); },
                        [&](const for_lease &) { onLeaseFailed(s); },
                        [&](const for_page &of) {
                            s.log("page-not-read", s.state.pages[of.exchange].batch.value, failed.reason);
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -5,6 +5,9 @@
 
 namespace jacinthvale::node {
 
+/// Answers further apart than this do not count as steady: what others wrote meanwhile was not seen.
+inline constexpr milliseconds kSteadyGap{1500};
+
 /// One call of reduce().
 struct step
 {
@@ -87,6 +90,7 @@
 
 void takeOrphans(step &s);
 void onClaimCommitted(step &s, const for_claim &what, const rows_committed &committed);
+void onClaimEnded(step &s, const batch_id &id);
 void onLoadRows(step &s, const batch_id &id, const rows_arrived &rows);
 void loadBatch(step &s, batch_head head);
 void handOver(step &s);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -70,6 +70,7 @@
 {
     const batch_id &id = loading.head.what.id;
     const op_id op = s.open(for_load{id});
+    loading.op = op;
     if (loading.readingResults) {
         s.emit(read_rows{op, table_id::results, partOf(id),
                          loading.nextFrom.empty() ? resultKey(id, 0, 0) : loading.nextFrom, endKey(id)});
@@ -139,7 +140,7 @@
         return;
     }
     for (auto &[id, head] : state.heads) {
-        if (head.ended || state.owned.contains(id) || state.loading.contains(id)
+        if (head.ended || head.claiming || state.owned.contains(id) || state.loading.contains(id)
             || state.pending.contains(id)) {
             continue;
         }
@@ -157,13 +158,22 @@
             head.orphanSince = s.at.now;
         }
         if (s.at.now - *head.orphanSince >= takeOverDelay(state, id, s.at.now)) {
-            // A claim that comes to nothing is tried again after this pause.
-            head.orphanSince = s.at.now + kClaimAgain;
+            head.claiming = true;
             claim(s, head);
         }
     }
 }
 
+void onClaimEnded(step &s, const batch_id &id)
+{
+    const auto found = s.state.heads.find(id);
+    if (found != s.state.heads.end()) {
+        found->second.claiming = false;
+        // A claim that came to nothing is tried again after a pause.
+        found->second.orphanSince = s.at.now + kClaimAgain;
+    }
+}
+
 void onClaimCommitted(step &s, const for_claim &what, const rows_committed &committed)
 {
     batch_head head = what.wanted;
@@ -188,7 +198,7 @@
 void onLoadRows(step &s, const batch_id &id, const rows_arrived &rows)
 {
     const auto found = s.state.loading.find(id);
-    if (found == s.state.loading.end()) {
+    if (found == s.state.loading.end() || found->second.op != rows.op) {
         return;
     }
     loading_batch &loading = found->second;
