The weights lease passes on at once; its row names the upstreams that may be ordered

Ruled out: the number of loads at a time, which has its bound from the source of weights. Change: a holder writes down which upstreams it may order before it orders them, and gives the lease up at SIGTERM; a successor takes it after 1.8 s of silence, at once where it was given up or the holder's host shows a new incarnation, and leaves alone what the holder may have ordered within the lease time. Upstreams that cannot serve the present step are loaded first, of the model that has fewest that can.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -223,7 +223,9 @@
     model_id model;
     weight_version version;
     op_id op;
-    bool ordered = false;
+    /// Store's time at which the order was wanted: it may be sent once a row of the lease from then on names
+    /// it.
+    std::uint64_t wantedAtStore = 0;
     instant since{};
     instant askAgainAt{};
 };
@@ -236,13 +238,23 @@
     bool rowKnown = false;
     /// When this process saw the lease row change.
     instant changedAt{};
+    /// Incarnation of the holder by the row.
+    incarnation_id holderIncarnation;
+    bool released = false;
     bool held = false;
     /// No order after this moment without a renewal.
     instant heldUntil{};
     instant renewSentAt{};
     instant nextAt{};
     op_id op;
-    op_id readOp;
+    /// Upstreams that the holder may order by its last row, and the store's time of the row that named them.
+    /// A successor leaves these alone for a while.
+    std::map<upstream_id, std::uint64_t> planned;
+    /// What the running renewal writes.
+    std::map<upstream_id, std::uint64_t> plan;
+    /// Upstreams that a holder before this one may have ordered, and the store's time until which they are
+    /// left alone.
+    std::map<upstream_id, std::uint64_t> leftAlone;
     std::map<upstream_id, running_order> orders;
 };
 
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -38,8 +38,8 @@
         return;
     }
     handOver(s);
-    const bool idle = s.state.owned.empty() && s.state.calls.empty() && s.state.pending.empty()
-                      && s.state.pages.empty();
+    const bool idle = !s.state.conductor.held && s.state.owned.empty() && s.state.calls.empty()
+                      && s.state.pending.empty() && s.state.pages.empty();
     if (idle || s.at.now >= s.state.stopAt) {
         s.emit(end_process{});
     }
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -66,8 +66,11 @@
     host_id holder;
     incarnation_id incarnation;
     fencing_number epoch;
-    /// Makes each renewal another value.
-    std::uint64_t renewals = 0;
+    /// The holder gave it up: it orders nothing more.
+    bool released = false;
+    /// Upstreams that the holder may order until its next row, and those that it may have ordered of late,
+    /// each with the store's time at which it was last named for an order.
+    std::map<std::string, std::uint64_t> planned;
 };
 inline const std::string kWeightsLeaseKey = "weights";
 
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-/// The lease holds for this long after the start of a renewal, and is renewed this often. Its time plus the
-/// wait of a successor stays clear of the time within which two holders must not order.
+/// The lease holds for this long after the start of a renewal, and is renewed this often.
 constexpr milliseconds kLeaseHeld{1400};
 constexpr milliseconds kRenewPeriod{500};
 constexpr milliseconds kRenewDeadline{1200};
 
-/// A successor waits for the lease time and this long after it last saw the row change: orders of the holder
-/// may still be on their way, and its row is read at intervals.
-constexpr milliseconds kSuccessorMargin{1500};
+/// A successor takes a lease that was not renewed for the time it holds and this long: its row is read at
+/// intervals, and clocks of two hosts run at slightly different speeds.
+constexpr milliseconds kSuccessorMargin{400};
+
+/// Margin on the time for which a successor leaves upstreams alone that the holder before may have ordered.
+constexpr milliseconds kAloneMargin{200};
 
 /// Loads at one time, as a share of a service's upstreams and at least: the source of weights serves about a
 /// fifth of a fleet at full speed (2 of 11, 9 of 45, 10 of 48), and more of them slow each other down.
@@ -26,11 +28,11 @@
 /// An order is taken for lost when its upstream does not show the version by then: twice a slow load.
 constexpr milliseconds kOrderPatience{6000};
 
-/// Pause between two questions to an upstream that is busy.
-constexpr milliseconds kAskPause{400};
+/// Pause between two questions to an upstream that is busy or loads.
+constexpr milliseconds kAskPause{200};
 
 /// Time from the answer to an order to the first look at its effect: a load takes 0.9 s.
-constexpr milliseconds kLoadTime{950};
+constexpr milliseconds kLoadTime{930};
 
 weight_version presentVersion(const upstream_view &view, const model_id &model)
 {
@@ -38,13 +40,42 @@
     return found == view.entry.weights.end() ? weight_version{0} : found->second;
 }
 
-void renew(step &s)
+/// What the next row of the lease names: upstreams to order now, and those named within the time that counts.
+std::map<upstream_id, std::uint64_t> planOf(const step &s)
+{
+    const weights_conductor &lease = s.state.conductor;
+    const std::uint64_t now = storeTime(s.state, s.at.now);
+    const auto counts
+            = static_cast<std::uint64_t>((kLeaseHeld + s.state.self.leaseTime + kAloneMargin).count());
+    std::map<upstream_id, std::uint64_t> plan;
+    for (const auto &[id, named] : lease.planned) {
+        if (named + counts > now) {
+            plan.emplace(id, named);
+        }
+    }
+    for (const auto &[id, until] : lease.leftAlone) {
+        if (until > now) {
+            // A third holder leaves them alone as well.
+            plan.emplace(id, until - counts);
+        }
+    }
+    for (const auto &[id, order] : lease.orders) {
+        plan[id] = now;
+    }
+    return plan;
+}
+
+void writeLease(step &s, bool release)
 {
     weights_conductor &lease = s.state.conductor;
-    lease_row row{s.state.self.host, s.state.incarnation, lease.epoch, s.state.lastOp};
+    lease_row row{s.state.self.host, s.state.incarnation, lease.epoch, release, {}};
     if (!lease.held) {
         ++row.epoch.value;
     }
+    lease.plan = planOf(s);
+    for (const auto &[id, named] : lease.plan) {
+        row.planned.emplace(id.value, named);
+    }
     lease.renewSentAt = s.at.now;
     lease.op = s.open(for_lease{});
     s.emit(commit_rows{lease.op,
@@ -68,6 +99,7 @@
         }
     }
     lease.orders.clear();
+    lease.leftAlone.clear();
 }
 
 bool mayOrder(const step &s)
@@ -75,49 +107,81 @@
     return s.state.conductor.held && s.at.now < s.state.conductor.heldUntil && !s.state.stopping;
 }
 
+/// True where the last row of the lease names the upstream, so that a successor knows of the order.
+bool isPlanned(const step &s, const upstream_id &id, const running_order &order)
+{
+    const auto found = s.state.conductor.planned.find(id);
+    return found != s.state.conductor.planned.end() && found->second >= order.wantedAtStore;
+}
+
 void askUpstream(step &s, const upstream_id &id, running_order &order)
 {
     order.op = s.open(for_order{id});
     s.emit(ask_load{order.op, s.state.upstreams.at(id).entry.address, id});
 }
 
-/// Starts loads: of upstreams dealt to a model, those furthest behind first.
-void startLoads(step &s)
+/// An upstream that is behind, and what makes it urgent.
+struct load_wish
+{
+    /// Share of the model's upstreams that can serve its present step.
+    double usable = 0;
+    /// The upstream itself can serve the present step.
+    bool serves = false;
+    upstream_id upstream;
+    model_id model;
+    weight_version version;
+};
+
+void addWishes(const step &s, const std::map<upstream_id, model_id> &deal, std::vector<load_wish> &wishes)
 {
-    struct wish
-    {
-        std::uint64_t lag;
-        upstream_id upstream;
-        model_id model;
-        weight_version version;
+    std::map<model_id, std::pair<double, double>> usable;
+    const auto servesStep = [&](const upstream_id &id, const model_id &model) {
+        const auto named = s.state.named.find(model);
+        // A step allows the version before the named one.
+        return named == s.state.named.end()
+               || presentVersion(s.state.upstreams.at(id), model).value + 1 >= named->second.value;
     };
-    std::vector<wish> wishes;
+    for (const auto &[id, model] : deal) {
+        usable[model].first += servesStep(id, model) ? 1 : 0;
+        usable[model].second += 1;
+    }
+    const std::uint64_t now = storeTime(s.state, s.at.now);
+    for (const auto &[id, model] : deal) {
+        const upstream_view &view = s.state.upstreams.at(id);
+        const auto named = s.state.named.find(model);
+        const auto alone = s.state.conductor.leftAlone.find(id);
+        const bool free = alone == s.state.conductor.leftAlone.end() || alone->second <= now;
+        if (free && named != s.state.named.end() && presentVersion(view, model) < named->second
+            && view.restUntil <= s.at.now && !s.state.conductor.orders.contains(id)) {
+            wishes.push_back({usable[model].first / usable[model].second, servesStep(id, model), id, model,
+                              named->second});
+        }
+    }
+}
+
+/// Starts loads: upstreams that cannot serve the present step first, of the model that has fewest that can.
+void startLoads(step &s)
+{
+    std::vector<load_wish> wishes;
     std::size_t mostLoads = 0;
     for (const auto &[service, limits] : s.state.config.engines) {
         const auto deal = dealOf(s.state, service);
         mostLoads += std::max(kLeastLoads, deal.size() / kUpstreamsPerLoad);
-        for (const auto &[id, model] : deal) {
-            const upstream_view &view = s.state.upstreams.at(id);
-            const auto named = s.state.named.find(model);
-            const weight_version present = presentVersion(view, model);
-            if (named != s.state.named.end() && present < named->second && view.restUntil <= s.at.now
-                && !s.state.conductor.orders.contains(id)) {
-                wishes.push_back({named->second.value - present.value, id, model, named->second});
-            }
-        }
+        addWishes(s, deal, wishes);
     }
-    std::ranges::sort(wishes, [](const wish &left, const wish &right) {
-        return std::tie(right.lag, left.upstream) < std::tie(left.lag, right.upstream);
+    std::ranges::sort(wishes, [](const load_wish &left, const load_wish &right) {
+        return std::tie(left.serves, left.usable, left.upstream)
+               < std::tie(right.serves, right.usable, right.upstream);
     });
-    for (const wish &next : wishes) {
+    for (const load_wish &next : wishes) {
         if (s.state.conductor.orders.size() >= mostLoads) {
-            return;
+            break;
         }
         running_order &order = s.state.conductor.orders[next.upstream];
         order.model = next.model;
         order.version = next.version;
         order.since = s.at.now;
-        askUpstream(s, next.upstream, order);
+        order.wantedAtStore = storeTime(s.state, s.at.now);
     }
 }
 
@@ -146,12 +210,28 @@
     auto &orders = s.state.conductor.orders;
     std::erase_if(orders, [&](const auto &entry) { return isOver(s, entry.first, entry.second); });
     for (auto &[id, order] : orders) {
-        if (order.op.value == 0 && order.askAgainAt <= s.at.now) {
+        if (order.op.value == 0 && order.askAgainAt <= s.at.now && isPlanned(s, id, order)) {
             askUpstream(s, id, order);
         }
     }
 }
 
+/// True where the lease may be taken: nobody holds it, or its holder can order nothing more.
+bool isFree(const step &s)
+{
+    const weights_conductor &lease = s.state.conductor;
+    if (!lease.rowKnown || lease.released || s.at.now - lease.changedAt >= kLeaseHeld + kSuccessorMargin) {
+        return true;
+    }
+    // The holder's process is gone where its host shows another incarnation.
+    if (lease.holder == s.state.self.host) {
+        return lease.holderIncarnation != s.state.incarnation;
+    }
+    const auto found = s.state.members.find(lease.holder);
+    return found != s.state.members.end() && found->second.incarnation != lease.holderIncarnation
+           && found->second.rowVersion > lease.rowVersion;
+}
+
 } // namespace
 
 void conduct(step &s)
@@ -163,20 +243,33 @@
     if (lease.held && s.at.now >= lease.heldUntil) {
         loseLease(s, "not renewed in time");
     }
-    if (lease.op.value == 0 && lease.nextAt <= s.at.now && !s.state.stopping) {
-        const milliseconds quiet = s.state.self.leaseTime + kSuccessorMargin;
-        const bool own = lease.held;
-        const bool wanted = !s.state.named.empty();
-        const bool free = !lease.rowKnown || s.at.now - lease.changedAt >= quiet;
-        if (own || (wanted && free)) {
-            renew(s);
+    if (s.state.stopping) {
+        if (lease.held && lease.op.value == 0) {
+            for (const auto &[id, order] : lease.orders) {
+                if (order.op.value != 0) {
+                    s.emit(cancel_call{order.op});
+                    s.state.ops.erase(order.op);
+                }
+            }
+            lease.orders.clear();
+            writeLease(s, true);
         }
+        return;
     }
-    if (!mayOrder(s)) {
+    bool renewNow = false;
+    if (mayOrder(s)) {
+        watchOrders(s);
+        startLoads(s);
+        renewNow = std::ranges::any_of(
+                lease.orders, [&](const auto &each) { return !isPlanned(s, each.first, each.second); });
+    }
+    if (lease.op.value != 0) {
         return;
     }
-    watchOrders(s);
-    startLoads(s);
+    if (lease.held ? renewNow || lease.nextAt <= s.at.now
+                   : lease.nextAt <= s.at.now && !s.state.named.empty() && isFree(s)) {
+        writeLease(s, false);
+    }
 }
 
 void onLeaseRow(step &s, const row &what)
@@ -194,7 +287,13 @@
     lease.rowVersion = what.version;
     lease.changedAt = s.at.now;
     lease.holder = row->holder;
+    lease.holderIncarnation = row->incarnation;
     lease.epoch = row->epoch;
+    lease.released = row->released;
+    lease.planned.clear();
+    for (const auto &[id, named] : row->planned) {
+        lease.planned.emplace(upstream_id{id}, named);
+    }
     if (lease.held && (row->holder != s.state.self.host || row->incarnation != s.state.incarnation)) {
         loseLease(s, "held by " + row->holder.value);
     }
@@ -209,12 +308,30 @@
     lease.changedAt = s.at.now;
     lease.nextAt = lease.renewSentAt + kRenewPeriod;
     lease.heldUntil = lease.renewSentAt + kLeaseHeld;
+    if (s.state.stopping) {
+        if (lease.held) {
+            s.log("lease-released", kWeightsLeaseKey);
+        }
+        lease.held = false;
+        return;
+    }
     if (!lease.held) {
         lease.held = true;
         ++lease.epoch.value;
         lease.holder = s.state.self.host;
-        s.log("lease-taken", kWeightsLeaseKey, "fencing number " + std::to_string(lease.epoch.value));
+        lease.holderIncarnation = s.state.incarnation;
+        lease.released = false;
+        const auto alone
+                = static_cast<std::uint64_t>((kLeaseHeld + s.state.self.leaseTime + kAloneMargin).count());
+        for (const auto &[id, named] : lease.planned) {
+            lease.leftAlone[id] = named + alone;
+        }
+        s.log("lease-taken", kWeightsLeaseKey,
+              "fencing number " + std::to_string(lease.epoch.value) + ", upstreams left alone "
+                      + std::to_string(lease.leftAlone.size()));
     }
+    lease.planned = lease.plan;
+    conduct(s);
 }
 
 void onLeaseConflict(step &s, const rows_conflict &what)
@@ -262,7 +379,6 @@
           order.model.value + " version " + std::to_string(order.version.value) + " after orders "
                   + std::to_string(report.orders));
     s.emit(count{"weight_orders"});
-    order.ordered = true;
     order.op = s.open(for_order{what.upstream});
     s.emit(order_weights{order.op, view->second.entry.address, what.upstream, order.model, order.version,
                          s.state.self.host, s.state.conductor.epoch, report.orders});
