Items start by the latest time at which they may; short ones leave the fast upstreams to long ones

Cause: trainers that ask steps ahead have two batches open for a model. The earlier one's short items went before the later one's longest, which then missed its time (7.4 s alone at the best pace of 50 ms a piece); short items filled the fast upstreams. Ruled out: more slots for the later batch; none were free. Change: waiting items of all batches start in the order of due time less expected work, spare groups last; items expected to be short take the slower of the untroubled upstreams.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -92,8 +92,8 @@
     std::uint64_t piecesAtStart = 0;
     /// Tokens booked at the upstream for this run.
     double booked = 0;
-    /// Place in the order of starts; lower first.
-    std::size_t rank = 0;
+    /// Of a group that the trainer need not wait for.
+    bool spare = false;
 };
 
 struct waiting_reader
@@ -111,8 +111,6 @@
     std::uint64_t headVersion = 0;
     std::uint64_t acceptedAtMs = 0;
     std::vector<owned_item> items;
-    /// Items by rank.
-    std::vector<std::size_t> order;
     std::vector<item_result> listed;
     std::deque<std::size_t> finished;
     /// Items of the running transaction, in the order of their positions.
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -69,9 +69,8 @@
     }
     what.items.clear();
     owned.what = std::move(what);
-    owned.order.clear();
     s.state.owned.insert_or_assign(id, std::move(owned));
-    prepareOrder(s.state.owned.at(id));
+    markSpare(s.state.owned.at(id));
     startRuns(s);
 }
 
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -34,6 +34,14 @@
 /// queue.
 constexpr double kCrowdingPerSlot = 0.1;
 
+/// Pace where none has been measured: 61 tokens a piece at 0.7 ms.
+constexpr double kUsualPaceMs = 43;
+
+/// Items shorter than this share of the longest that is possible go to slower upstreams first, as long as
+/// these are not in trouble: the fast ones are kept for the items that decide the time of a step.
+constexpr double kShortShare = 0.3;
+constexpr double kTroubledFactor = 1.5;
+
 /// An upstream whose memory would not hold all its generations puts one of them back and reads it in again.
 constexpr double kCrampedFactor = 2.5;
 
@@ -231,7 +239,8 @@
         const auto share = wish.deal->find(id);
         const bool dealt = share != wish.deal->end() && share->second == wish.model;
         const double crowding = kCrowdingPerSlot * view.running / std::max(1U, view.entry.slots);
-        double cost = (median > 0 ? paceOf(view, median, now) / median : 1.0) * (1.0 + crowding);
+        const double pace = median > 0 ? paceOf(view, median, now) / median : 1.0;
+        double cost = (wish.isShort && pace < kTroubledFactor ? 1.0 / pace : pace) * (1.0 + crowding);
         if (view.entry.zone != state.self.availabilityZone) {
             cost *= kOtherZoneFactor;
         }
@@ -255,6 +264,11 @@
     return std::min<double>(item.tokens, kUsualPrompt + item.expectedOutput);
 }
 
+bool isShort(const batch_item &item)
+{
+    return expectedTokens(item) < kShortShare * item.tokens;
+}
+
 double expectedPiecesLeft(const node_state &state, const service_id &service, const owned_item &item)
 {
     const auto limits = state.config.engines.find(service);
@@ -288,45 +302,36 @@
     return best;
 }
 
-std::vector<std::size_t> startOrder(const std::vector<batch_item> &items, unsigned groupsWanted)
+std::set<std::string> spareGroups(const std::vector<batch_item> &items, unsigned groupsWanted)
 {
-    struct group_cost
-    {
-        double longest = 0;
-        std::size_t first = 0;
-        bool spare = false;
-    };
-    std::map<std::string, group_cost> groups;
+    std::map<std::string, double> longest;
     std::vector<std::string> names;
-    for (std::size_t i = 0; i < items.size(); ++i) {
-        const auto [found, fresh] = groups.try_emplace(items[i].group, group_cost{0, names.size(), false});
+    for (const batch_item &item : items) {
+        const auto [found, fresh] = longest.try_emplace(item.group, 0);
         if (fresh) {
-            names.push_back(items[i].group);
+            names.push_back(item.group);
         }
-        found->second.longest = std::max(found->second.longest, expectedTokens(items[i]));
-    }
-    // Groups that come back stand first and make up half of those wanted at most: they are never left out.
-    const std::size_t kept = groupsWanted / 2;
-    std::vector<std::string> spare;
-    for (std::size_t i = kept; i < names.size(); ++i) {
-        spare.push_back(names[i]);
+        found->second = std::max(found->second, expectedTokens(item));
     }
-    ranges::sort(spare, std::greater<>{}, [&](const std::string &name) { return groups[name].longest; });
-    const std::size_t spareNumber = names.size() > groupsWanted ? names.size() - groupsWanted : 0;
-    for (std::size_t i = 0; i < std::min(spareNumber, spare.size()); ++i) {
-        groups[spare[i]].spare = true;
+    if (names.size() <= groupsWanted) {
+        return {};
     }
-    std::vector<std::size_t> order(items.size());
-    std::iota(order.begin(), order.end(), std::size_t{0});
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        const group_cost &a = groups[items[left].group];
-        const group_cost &b = groups[items[right].group];
-        if (a.spare != b.spare) {
-            return b.spare;
-        }
-        return expectedTokens(items[left]) > expectedTokens(items[right]);
-    });
-    return order;
+    // Groups that come back stand first and make up half of those wanted at most: they are never left out.
+    const std::size_t spareNumber = names.size() - groupsWanted;
+    names.erase(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(groupsWanted / 2));
+    ranges::sort(names, std::greater<>{}, [&](const std::string &name) { return longest[name]; });
+    names.resize(std::min(names.size(), spareNumber));
+    return {names.begin(), names.end()};
+}
+
+double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
+                     const route &by, instant now)
+{
+    const service_id service = drawService(by, stableHash(item.item.id.value));
+    const double median = medianPace(state, service, now);
+    const double work = expectedPiecesLeft(state, service, item) * (median > 0 ? median : kUsualPaceMs);
+    const auto due = static_cast<double>(by.due.count());
+    return static_cast<double>(batch.acceptedAtMs) + due - work + (item.spare ? due : 0);
 }
 
 } // namespace jacinthvale::node
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -46,6 +46,8 @@
     const std::map<upstream_id, model_id> *deal = nullptr;
     /// Tokens that it is expected to reach.
     double tokens = 0;
+    /// The item is short: fast upstreams are left to others.
+    bool isShort = false;
     /// Only upstreams whose pace was measured of late.
     bool onlyKnownPace = false;
 };
@@ -56,6 +58,9 @@
 /// Tokens that an item's prompt and output are expected to reach.
 double expectedTokens(const batch_item &item);
 
+/// True where the item is expected to be much shorter than the longest one possible.
+bool isShort(const batch_item &item);
+
 /// Pieces that a run still has to make, as far as its client's guess and its own length tell.
 double expectedPiecesLeft(const node_state &state, const service_id &service, const owned_item &item);
 
@@ -63,7 +68,13 @@
 std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
                                      const std::set<upstream_id> &tried, instant now);
 
-/// Order of starts: groups that must come first, then the longest, with the groups that may be left out last.
-std::vector<std::size_t> startOrder(const std::vector<batch_item> &items, unsigned groupsWanted);
+/// Groups that may be left out because the trainer does not wait for all: those with the longest items, but
+/// never groups that come back from an earlier step.
+std::set<std::string> spareGroups(const std::vector<batch_item> &items, unsigned groupsWanted);
+
+/// Store's time at which an item must start to be there when its batch is due; that of a spare one is later
+/// by the whole time of a batch. Items start in this order, whatever batch they are of.
+double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
+                     const route &by, instant now);
 
 } // namespace jacinthvale::node
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -187,7 +187,8 @@
 std::optional<member> decodeMember(const row &what)
 {
     member who;
-    if (!unpack(what.value, who.incarnation.value, who.peer.address, who.peer.port, who.leaving, who.beats, who.paces, who.processorShare)) {
+    if (!unpack(what.value, who.incarnation.value, who.peer.address, who.peer.port, who.leaving, who.beats,
+                who.paces, who.processorShare)) {
         return std::nullopt;
     }
     who.rowVersion = what.version;
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -125,13 +125,13 @@
     s.log("upstream-rests", id.value, why + ", " + std::to_string(time.count()) + " ms");
 }
 
-void prepareOrder(owned_batch &batch)
+void markSpare(owned_batch &batch)
 {
     std::vector<batch_item> items;
     std::ranges::transform(batch.items, std::back_inserter(items), &owned_item::item);
-    batch.order = startOrder(items, batch.what.groupsWanted);
-    for (std::size_t i = 0; i < batch.order.size(); ++i) {
-        batch.items[batch.order[i]].rank = i;
+    const std::set<std::string> spare = spareGroups(items, batch.what.groupsWanted);
+    for (owned_item &item : batch.items) {
+        item.spare = spare.contains(item.item.group);
     }
 }
 
@@ -141,42 +141,50 @@
     if (state.stopping || !state.configKnown) {
         return;
     }
-    std::map<service_id, std::map<upstream_id, model_id>> deals;
-    // Oldest batch first: its trainer waits longest.
-    std::vector<owned_batch *> batches;
+    struct candidate
+    {
+        double latest;
+        owned_batch *batch;
+        std::size_t index;
+        service_id service;
+    };
+    std::vector<candidate> waiting;
     for (auto &[id, batch] : state.owned) {
-        batches.push_back(&batch);
-    }
-    std::ranges::sort(batches, {}, &owned_batch::acceptedAtMs);
-    for (owned_batch *batch : batches) {
-        const route *by = findRoute(state.config, batch->what.host, batch->what.path);
-        if (by == nullptr || batch->handingOver) {
+        const route *by = findRoute(state.config, batch.what.host, batch.what.path);
+        if (by == nullptr || batch.handingOver) {
             continue;
         }
-        std::set<service_id> full;
-        for (const std::size_t index : batch->order) {
-            owned_item &item = batch->items[index];
-            if (item.phase != item_phase::waiting) {
-                continue;
+        for (std::size_t i = 0; i < batch.items.size(); ++i) {
+            const owned_item &item = batch.items[i];
+            if (item.phase == item_phase::waiting) {
+                waiting.push_back({latestStartMs(state, batch, item, *by, s.at.now), &batch, i,
+                                   drawService(*by, stableHash(item.item.id.value))});
             }
-            const service_id service = drawService(*by, stableHash(item.item.id.value));
-            if (full.contains(service)) {
-                continue;
-            }
-            if (!deals.contains(service)) {
-                deals[service] = dealOf(state, service);
-            }
-            const auto target = placeRun(state,
-                                         {service, batch->what.model, batch->what.minVersion, &deals[service],
-                                          expectedTokens(item.item)},
-                                         s.at.now);
-            if (!target) {
-                full.insert(service);
-                continue;
-            }
-            startRun(s, *batch, index, *target);
         }
     }
+    std::ranges::sort(waiting, {}, &candidate::latest);
+    std::map<service_id, std::map<upstream_id, model_id>> deals;
+    std::set<std::tuple<service_id, model_id, weight_version>> full;
+    for (const candidate &next : waiting) {
+        const batch &what = next.batch->what;
+        const auto key = std::make_tuple(next.service, what.model, what.minVersion);
+        if (full.contains(key)) {
+            continue;
+        }
+        if (!deals.contains(next.service)) {
+            deals[next.service] = dealOf(state, next.service);
+        }
+        const batch_item &item = next.batch->items[next.index].item;
+        const auto target = placeRun(state,
+                                     {next.service, what.model, what.minVersion, &deals[next.service],
+                                      expectedTokens(item), isShort(item), false},
+                                     s.at.now);
+        if (!target) {
+            full.insert(key);
+            continue;
+        }
+        startRun(s, *next.batch, next.index, *target);
+    }
 }
 
 void moveStragglers(step &s)
@@ -198,7 +206,7 @@
             service_id service;
         };
         std::vector<candidate> candidates;
-        for (const std::size_t index : batch.order) {
+        for (std::size_t index = 0; index < batch.items.size(); ++index) {
             const owned_item &item = batch.items[index];
             if (item.phase == item_phase::running && item.moves < kMostMoves
                 && s.at.now - item.startedAt >= kLeastStay) {
@@ -221,7 +229,7 @@
             const auto deal = dealOf(state, service);
             const auto target = placeRun(state,
                                          {service, batch.what.model, batch.what.minVersion, &deal,
-                                          expectedTokens(item.item), true},
+                                          expectedTokens(item.item), false, true},
                                          s.at.now);
             if (!target || *target == item.upstream) {
                 continue;
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -106,7 +106,7 @@
 void onRunProgress(step &s, const for_run &what, const run_progressed &progress);
 void onRunEnded(step &s, const for_run &what, call_end end);
 void stopRun(step &s, owned_item &item);
-void prepareOrder(owned_batch &batch);
+void markSpare(owned_batch &batch);
 
 // Forwarded calls (node_calls.cpp).
 void onCallReceived(step &s, const call_received &what);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -127,7 +127,7 @@
           "listed " + std::to_string(batch.listed.size()) + " of " + std::to_string(batch.items.size()));
     s.emit(count{"batches_taken_over"});
     s.state.owned.insert_or_assign(id, std::move(batch));
-    prepareOrder(s.state.owned.at(id));
+    markSpare(s.state.owned.at(id));
     startRuns(s);
 }
 
--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -74,24 +74,55 @@
     EXPECT_LE(moved, 1U);
 }
 
-TEST(node_placement, longestStartFirstAndTheWorstSpareGroupsLast)
+TEST(node_placement, groupsWithTheLongestItemsAreSpare)
 {
     // Pattern: a step waits for nine tenths of its groups, and its time is that of its longest item.
     batch what = node_world::makeBatch("b", "m0", 1, {5, 5, 5, 5, 9, 9, 9, 9, 50, 9, 9, 9, 7, 7, 7, 7});
-    what.groupsWanted = 3;
-    const auto order = startOrder(what.items, what.groupsWanted);
-    EXPECT_EQ(what.items[order.front()].expectedOutput, 9U * 61);
-    EXPECT_EQ(what.items[order.back()].group, "g2");
+    EXPECT_EQ(spareGroups(what.items, 3), std::set<std::string>{"g2"});
+    EXPECT_TRUE(spareGroups(what.items, 4).empty());
 }
 
 TEST(node_placement, aGroupThatComesBackIsNeverSpare)
 {
     // Pattern: groups that were not whole in the step before stand first, and the trainer waits for them.
-    batch what = node_world::makeBatch("b", "m0", 1, {90, 9, 9, 9, 5, 5, 5, 5, 6, 6, 6, 6});
-    what.groupsWanted = 2;
-    const auto order = startOrder(what.items, what.groupsWanted);
-    EXPECT_EQ(order.front(), 0U);
-    EXPECT_NE(what.items[order.back()].group, "g0");
+    const batch what = node_world::makeBatch("b", "m0", 1, {90, 9, 9, 9, 5, 5, 5, 5, 6, 6, 6, 6});
+    EXPECT_FALSE(spareGroups(what.items, 2).contains("g0"));
+}
+
+TEST(node_placement, longItemsOfALaterBatchStartBeforeShortOnesOfAnEarlier)
+{
+    // Pattern: trainers that ask steps ahead have two batches open; each takes as long as its longest item,
+    // and the short ones of the first have time.
+    node_world world(6, 1, 2);
+    world.run(kStart);
+    world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(40, 10)));
+    world.run(milliseconds{200});
+    const batch second = node_world::makeBatch("b2", "m0", 1, {140, 10, 10, 10});
+    world.handIn(0, second);
+    world.run(milliseconds{900});
+    EXPECT_EQ(world.state(0).owned.at(second.id).items[0].phase, item_phase::running);
+    const auto &first = world.state(0).owned.at({"b1"}).items;
+    EXPECT_TRUE(
+            std::ranges::any_of(first, [](const owned_item &i) { return i.phase == item_phase::waiting; }));
+}
+
+TEST(node_placement, shortItemsLeaveTheFastUpstreamsToLongOnes)
+{
+    // Pattern: upstreams differ by a third; a long item that finds the fast ones full misses its step's time.
+    node_world world(7, 1, 4);
+    for (std::size_t i = 0; i < 4; ++i) {
+        world.upstream(i).pace = milliseconds{i % 2 == 0 ? 40 : 55};
+    }
+    world.run(kStart);
+    world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(16, 30)));
+    world.handIn(0, node_world::makeBatch("b2", "m1", 1, std::vector<unsigned>(16, 30)));
+    world.run(milliseconds{2500});
+    const batch what = node_world::makeBatch("b3", "m0", 1, {20, 20, 20, 20});
+    world.handIn(0, what);
+    world.run(milliseconds{200});
+    for (const owned_item &item : world.state(0).owned.at(what.id).items) {
+        EXPECT_GT(world.state(0).upstreams.at(item.upstream).paceMs, 50) << item.upstream.value;
+    }
 }
 
 TEST(node_placement, longRunsLeaveSlowUpstreams)
