--- a/tests/standins/node_world.cpp
+++ b/tests/standins/node_world.cpp
@@ -655,6 +655,18 @@
     return exchange;
 }
 
+std::size_t node_world::ownerIndex(const batch_id &id) const
+{
+    const auto found = std::ranges::find_if(
+            m_daemons, [&](const process &each) { return each.up && each.state->owned.contains(id); });
+    return found == m_daemons.end() ? 0 : static_cast<std::size_t>(found - m_daemons.begin());
+}
+
+const node_state &node_world::owner(const batch_id &id) const
+{
+    return *m_daemons.at(ownerIndex(id)).state;
+}
+
 std::string node_world::faultText() const
 {
     std::string text;
--- a/tests/standins/node_world.h
+++ b/tests/standins/node_world.h
@@ -88,6 +88,9 @@
 
     world_upstream &upstream(std::size_t index) { return m_upstreams.at(index); }
     const node::node_state &state(std::size_t daemon) const { return *m_daemons.at(daemon).state; }
+    /// State of the daemon that owns a batch, or of the first one.
+    const node::node_state &owner(const node::batch_id &id) const;
+    std::size_t ownerIndex(const node::batch_id &id) const;
     bool isUp(std::size_t daemon) const { return m_daemons.at(daemon).up; }
     std::size_t daemons() const { return m_daemons.size(); }
     instant now() const { return m_now; }
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -117,7 +117,7 @@
     const batch what = node_world::makeBatch("b1", "m0", 1, {150, 150, 4, 4, 4, 4});
     world.handIn(0, what);
     world.run(milliseconds{4000});
-    world.kill(0);
+    world.kill(world.ownerIndex(what.id));
     const instant killed = world.now();
     ASSERT_TRUE(world.runUntil([&] { return world.allListed(what); }, kLong));
     // From the beginning the long items would take six seconds.
@@ -132,11 +132,11 @@
     const batch what = node_world::makeBatch("b1", "m0", 1, pieces(8, 100));
     world.handIn(0, what);
     world.run(milliseconds{2000});
-    world.stop(0);
-    EXPECT_TRUE(world.runUntil(
-            [&] { return world.state(1).owned.contains(what.id) || world.state(2).owned.contains(what.id); },
-            milliseconds{1500}));
-    EXPECT_TRUE(world.runUntil([&] { return !world.isUp(0); }, milliseconds{7000}));
+    const std::size_t before = world.ownerIndex(what.id);
+    world.stop(before);
+    EXPECT_TRUE(world.runUntil([&] { return world.ownerIndex(what.id) != before; }, milliseconds{1500}));
+    EXPECT_TRUE(world.owner(what.id).owned.contains(what.id));
+    EXPECT_TRUE(world.runUntil([&] { return !world.isUp(before); }, milliseconds{7000}));
     EXPECT_TRUE(world.runUntil([&] { return world.allListed(what); }, kLong));
     EXPECT_EQ(world.faultText(), "");
 }
@@ -268,7 +268,7 @@
     const std::size_t runs = world.runsStarted();
     world.run(milliseconds{5000});
     EXPECT_EQ(world.runsStarted(), runs);
-    EXPECT_TRUE(world.state(0).owned.empty());
+    EXPECT_FALSE(world.owner(what.id).owned.contains(what.id));
 }
 
 TEST(node_batches, rowsOfADaemonAndOfTheLeaseAreReadAsTheyWereWritten)
--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -95,7 +95,7 @@
     // and the short ones of the first have time.
     node_world world(6, 1, 2);
     world.run(kStart);
-    world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(40, 10)));
+    world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(160, 10)));
     world.run(milliseconds{200});
     const batch second = node_world::makeBatch("b2", "m0", 1, {140, 10, 10, 10});
     world.handIn(0, second);
@@ -111,7 +111,7 @@
     // Pattern: upstreams differ by a third; a long item that finds the fast ones full misses its step's time.
     node_world world(7, 1, 4);
     for (std::size_t i = 0; i < 4; ++i) {
-        world.upstream(i).pace = milliseconds{i % 2 == 0 ? 40 : 55};
+        world.upstream(i).pace = milliseconds{i < 2 ? 40 : 55};
     }
     world.run(kStart);
     world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(16, 30)));
@@ -162,7 +162,7 @@
     const batch what = node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(6, 140));
     world.handIn(0, what);
     world.run(milliseconds{200});
-    for (const auto &[id, view] : world.state(0).upstreams) {
+    for (const auto &[id, view] : world.owner(what.id).upstreams) {
         EXPECT_LE(view.booked, 30'000) << id.value;
     }
 }
@@ -185,7 +185,7 @@
     const batch what = node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(20, 60));
     world.handIn(0, what);
     world.run(milliseconds{100});
-    for (const owned_item &item : world.state(0).owned.at(what.id).items) {
+    for (const owned_item &item : world.owner(what.id).owned.at(what.id).items) {
         EXPECT_EQ(item.phase, item_phase::running);
     }
 }
