--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -26,7 +26,7 @@
 
 constexpr double kCallWeight = 0.2;
 
-void count_(step &s, const std::string &how)
+void countCall(step &s, const std::string &how)
 {
     s.emit(count{"calls_total{end=\"" + how + "\"}"});
 }
@@ -49,7 +49,7 @@
     const auto found = s.state.calls.find(exchange);
     cancelAttempts(s, found->second);
     s.log("call-refused", found->second.call.id.value, reason);
-    count_(s, "refused");
+    countCall(s, "refused");
     s.emit(refuse_call{exchange, why, why == refusal::not_run ? kComeBack : milliseconds{0}});
     s.state.calls.erase(found);
 }
@@ -157,7 +157,7 @@
         }
         cancelAttempts(s, call);
         s.emit(observe{"call_ms", static_cast<double>((s.at.now - call.arrivedAt).count())});
-        count_(s, "answered");
+        countCall(s, "answered");
         s.emit(answer_call{what.exchange, end.status, end.headers, end.body});
         s.state.calls.erase(found);
         return;
@@ -206,7 +206,7 @@
 {
     if (const auto found = s.state.calls.find(what.exchange); found != s.state.calls.end()) {
         s.log("caller-gone", found->second.call.id.value);
-        count_(s, "abandoned");
+        countCall(s, "abandoned");
         cancelAttempts(s, found->second);
         s.state.calls.erase(found);
     }
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -152,9 +152,11 @@
                        [&](const for_claim &of) { onClaimEnded(s, of.batch); },
                        [&](const for_lease &) { onLeaseFailed(s); },
                        [&](const for_page &of) {
-                           s.log("page-not-read", s.state.pages[of.exchange].batch.value, failed.reason);
-                           s.state.pages.erase(of.exchange);
-                           refuse(of.exchange);
+                           const auto page = s.state.pages.extract(of.exchange);
+                           if (!page.empty()) {
+                               s.log("page-not-read", page.mapped().batch.value, failed.reason);
+                               refuse(of.exchange);
+                           }
                        },
                        [&](const for_item &of) {
                            s.log("item-not-read", of.item.value, failed.reason);
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -52,24 +52,25 @@
     void operator()(const forward_call &what) const
     {
         const op_id op = what.op;
-        self.startCall(op, self.m_port->encodeCall(what), [this_ = &self, op](const http_call_finished &f) {
-            return this_->m_port->decodeCall(op, f);
+        self.startCall(op, self.m_port->encodeCall(what), [runtime = &self, op](const http_call_finished &f) {
+            return runtime->m_port->decodeCall(op, f);
         });
     }
     void operator()(const cancel_call &what) const { self.cancel(what.op); }
     void operator()(const ask_load &what) const
     {
         const op_id op = what.op;
-        self.startCall(op, self.m_port->encodeAsk(what), [this_ = &self, op](const http_call_finished &f) {
-            return this_->m_port->decodeAsk(op, f);
+        self.startCall(op, self.m_port->encodeAsk(what), [runtime = &self, op](const http_call_finished &f) {
+            return runtime->m_port->decodeAsk(op, f);
         });
     }
     void operator()(const order_weights &what) const
     {
         const op_id op = what.op;
-        self.startCall(op, self.m_port->encodeOrder(what), [this_ = &self, op](const http_call_finished &f) {
-            return this_->m_port->decodeOrder(op, f);
-        });
+        self.startCall(op, self.m_port->encodeOrder(what),
+                       [runtime = &self, op](const http_call_finished &f) {
+                           return runtime->m_port->decodeOrder(op, f);
+                       });
     }
     void operator()(const answer_call &what) const { self.reply(self.m_port->encodeReply(what)); }
     void operator()(const refuse_call &what) const { self.reply(self.m_port->encodeReply(what)); }
--- a/tests/standins/node_world.cpp
+++ b/tests/standins/node_world.cpp
@@ -655,6 +655,11 @@
     return exchange;
 }
 
+void node_world::leave(std::size_t daemon, exchange_id exchange)
+{
+    tell(daemon, m_daemons.at(daemon).life, caller_gone{exchange});
+}
+
 std::size_t node_world::ownerIndex(const batch_id &id) const
 {
     const auto found = std::ranges::find_if(
--- a/tests/standins/node_world.h
+++ b/tests/standins/node_world.h
@@ -51,6 +51,8 @@
     exchange_id askItem(std::size_t daemon, const node::batch_id &id, const node::item_id &item);
     exchange_id end(std::size_t daemon, const node::batch_id &id);
     exchange_id call(std::size_t daemon, const std::string &id, const std::string &path = "/plain/1");
+    /// The caller of an exchange goes away.
+    void leave(std::size_t daemon, exchange_id exchange);
     const world_answer &answer(exchange_id exchange) { return m_answers[exchange]; }
     template <typename Answer>
     const Answer *got(exchange_id exchange)
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -134,8 +134,11 @@
     world.run(milliseconds{2000});
     const std::size_t before = world.ownerIndex(what.id);
     world.stop(before);
-    EXPECT_TRUE(world.runUntil([&] { return world.ownerIndex(what.id) != before; }, milliseconds{1500}));
-    EXPECT_TRUE(world.owner(what.id).owned.contains(what.id));
+    EXPECT_TRUE(world.runUntil(
+            [&] {
+                return world.ownerIndex(what.id) != before && world.owner(what.id).owned.contains(what.id);
+            },
+            milliseconds{1500}));
     EXPECT_TRUE(world.runUntil([&] { return !world.isUp(before); }, milliseconds{7000}));
     EXPECT_TRUE(world.runUntil([&] { return world.allListed(what); }, kLong));
     EXPECT_EQ(world.faultText(), "");
@@ -255,6 +258,18 @@
     EXPECT_EQ(world.faultText(), "");
 }
 
+TEST(node_batches, aReaderThatLeftLeavesNoTrace)
+{
+    node_world world(13);
+    world.run(kStart);
+    world.setStoreDown(true);
+    const exchange_id page = world.askPage(0, {"b1"}, 0);
+    world.leave(0, page);
+    world.run(milliseconds{5000});
+    EXPECT_EQ(world.got<refuse_call>(page), nullptr);
+    EXPECT_TRUE(world.state(0).pages.empty());
+}
+
 TEST(node_batches, endedBatchStartsNothingMore)
 {
     node_world world(12);
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <regex>
 
 namespace jacinthvale {
 
@@ -147,6 +148,20 @@
     EXPECT_EQ(settings.faults.front().path, "$.availabilityZone");
 }
 
+TEST(platform_wire, pageOfSettingsNamesEachFieldThatTheTemplateSets)
+{
+    const std::string page = *readFile(std::string(JACINTHVALE_SOURCE_FOLDER) + "/docs/SETTINGS.md");
+    const std::string text
+            = *readFile(std::string(JACINTHVALE_SOURCE_FOLDER) + "/deploy/jvnode.json.template");
+    static const std::regex kField(R"re("(\w+)": )re");
+    std::size_t fields = 0;
+    for (std::sregex_iterator found(text.begin(), text.end(), kField), end; found != end; ++found) {
+        EXPECT_NE(page.find("| `" + (*found)[1].str() + "` |"), std::string::npos) << (*found)[1].str();
+        ++fields;
+    }
+    EXPECT_GT(fields, 0U);
+}
+
 TEST(store_way, aPeerIsAskedWhenTheDirectWayFails)
 {
     way_chooser ways;
