Loads are told to all daemons with the lease; a batch is refused at once while the store is known to be away

Cause: owners learned of a load from the upstreams' list one to two seconds after it held, and left that upstream out meanwhile. Ruled out: polling upstreams for their state (a probe each; the conductor asks anyway). Change: the lease's row names loads seen to hold in the last 5 s, and daemons wait for its changes; versions of one process never go back in what a daemon believes. After 1 s without any answer of the store a batch is refused at once, with 3.5 s to come back.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -233,6 +233,24 @@
     instant askAgainAt{};
 };
 
+/// A load that was seen to hold.
+struct loaded_weights
+{
+    upstream_id upstream;
+    model_id model;
+    weight_version version;
+    /// Store's time at which the holder saw it.
+    std::uint64_t seenAtMs = 0;
+
+    auto operator<=>(const loaded_weights &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(upstream.value, model.value, version.value, seenAtMs);
+    }
+};
+
 struct weights_conductor
 {
     fencing_number epoch;
@@ -253,6 +271,10 @@
     /// Upstreams that the holder may order by its last row, and the store's time of the row that named them.
     /// A successor leaves these alone for a while.
     std::map<upstream_id, std::uint64_t> planned;
+    /// Told to all daemons with the row.
+    std::vector<loaded_weights> loaded;
+    /// A load was seen to hold that no row tells of yet.
+    bool loadsToTell = false;
     /// What the running renewal writes.
     std::map<upstream_id, std::uint64_t> plan;
     /// Upstreams that a holder before this one may have ordered, and the store's time until which they are
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -22,6 +22,13 @@
 /// When a batch could not be stored: the store may have turned this host away for a moment.
 constexpr milliseconds kComeBackAfterStore{500};
 
+/// Without an answer of the store by any way for this long a batch is refused at once: feeds alone ask it
+/// several times a second, so this is an outage and no slow answer.
+constexpr milliseconds kStoreAway{1000};
+
+/// Outages of the store seen here last 2 to 7 s; callers keep to a third of their time, 4 s of 12.
+constexpr milliseconds kComeBackAfterOutage{3500};
+
 constexpr milliseconds kListDeadline{4000};
 constexpr milliseconds kEndDeadline{3000};
 
@@ -94,6 +101,12 @@
         s.emit(refuse_call{what.exchange, refusal::not_run, kComeBackAfterStore});
         return;
     }
+    if (s.at.now - state.storeSeenAt > kStoreAway) {
+        s.log("batch-refused", id.value,
+              "store silent for " + std::to_string((s.at.now - state.storeSeenAt).count()) + " ms");
+        s.emit(refuse_call{what.exchange, refusal::not_run, kComeBackAfterOutage});
+        return;
+    }
     batch_head head;
     const auto owners = ownersInOrder(state, what.what.model, s.at.now);
     head.owner = owners.empty() ? ownName(state) : owners.front();
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -12,7 +12,7 @@
 /// bound for a leaving upstream is 2 s, so a change seen 0.4 s late leaves four fifths of it.
 constexpr milliseconds kUpstreamsPace{400};
 
-/// Pause between two reads of the daemons' rows and of the lease.
+/// Pause between two reads of the daemons' rows.
 constexpr milliseconds kDaemonsPace{350};
 
 /// Longest wait for a change. A connection may go silent without a reset: the next question on a new one must
@@ -79,6 +79,7 @@
     upstream_view &view = found->second;
     if (view.entry.startedAtMs != entry->startedAtMs || view.entry.address != entry->address) {
         const unsigned running = view.running;
+        // The process that starts anew keeps its weights, but what was told of the one before may be wrong.
         view = {};
         view.running = running;
         s.log("upstream-restarted", id.value, toString(entry->address));
@@ -86,7 +87,13 @@
     if (!view.entry.draining && entry->draining) {
         s.log("upstream-draining", id.value);
     }
+    // The row may be older than what the conductor told; a process never goes back to older weights.
+    const auto known = std::move(view.entry.weights);
     view.entry = *entry;
+    for (const auto &[model, version] : known) {
+        weight_version &present = view.entry.weights[model];
+        present = std::max(present, version);
+    }
 }
 
 void onOperatorRow(step &s, const row_change &change)
@@ -180,7 +187,7 @@
     add(table_id::upstreams, kUpstreamsPace, milliseconds{0}, {""});
     add(table_id::daemons, kDaemonsPace, milliseconds{0}, {""});
     add(table_id::heads, kRarePace, kChangeWait, batchParts());
-    add(table_id::leases, kDaemonsPace, milliseconds{0}, {""});
+    add(table_id::leases, kRarePace, kChangeWait, {""});
 }
 
 void followFeeds(step &s)
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -197,15 +197,15 @@
 
 std::string encodeLease(const lease_row &lease)
 {
-    return pack(lease.holder.value, lease.incarnation.value, lease.epoch.value, lease.released,
-                lease.planned);
+    return pack(lease.holder.value, lease.incarnation.value, lease.epoch.value, lease.released, lease.planned,
+                lease.loaded);
 }
 
 std::optional<lease_row> decodeLease(const row &what)
 {
     lease_row lease;
     return unpack(what.value, lease.holder.value, lease.incarnation.value, lease.epoch.value, lease.released,
-                  lease.planned)
+                  lease.planned, lease.loaded)
                    ? std::optional(std::move(lease))
                    : std::nullopt;
 }
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -71,6 +71,8 @@
     /// Upstreams that the holder may order until its next row, and those that it may have ordered of late,
     /// each with the store's time at which it was last named for an order.
     std::map<std::string, std::uint64_t> planned;
+    /// Loads that were seen to hold of late: the list of upstreams tells of them only seconds later.
+    std::vector<loaded_weights> loaded;
 };
 inline const std::string kWeightsLeaseKey = "weights";
 
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t kUpstreamsPerLoad = 5;
 constexpr std::size_t kLeastLoads = 2;
 
+/// Loads are told for this long: by then the list of upstreams shows them.
+constexpr milliseconds kLoadsTold{5000};
+
 /// An order is taken for lost when its upstream does not show the version by then: twice a slow load.
 constexpr milliseconds kOrderPatience{6000};
 
@@ -68,7 +71,7 @@
 void writeLease(step &s, bool release)
 {
     weights_conductor &lease = s.state.conductor;
-    lease_row row{s.state.self.host, s.state.incarnation, lease.epoch, release, {}};
+    lease_row row{s.state.self.host, s.state.incarnation, lease.epoch, release, {}, {}};
     if (!lease.held) {
         ++row.epoch.value;
     }
@@ -76,6 +79,12 @@
     for (const auto &[id, named] : lease.plan) {
         row.planned.emplace(id.value, named);
     }
+    const std::uint64_t now = storeTime(s.state, s.at.now);
+    std::erase_if(lease.loaded, [&](const loaded_weights &each) {
+        return each.seenAtMs + static_cast<std::uint64_t>(kLoadsTold.count()) < now;
+    });
+    row.loaded = lease.loaded;
+    lease.loadsToTell = false;
     lease.renewSentAt = s.at.now;
     lease.op = s.open(for_lease{});
     s.emit(commit_rows{lease.op,
@@ -193,6 +202,8 @@
         return true;
     }
     if (presentVersion(view->second, order.model) >= order.version) {
+        s.state.conductor.loaded.push_back({id, order.model, order.version, storeTime(s.state, s.at.now)});
+        s.state.conductor.loadsToTell = true;
         s.log("weights-in-force", id.value,
               order.model.value + " version " + std::to_string(order.version.value) + " after "
                       + std::to_string((s.at.now - order.since).count()) + " ms");
@@ -294,6 +305,13 @@
     for (const auto &[id, named] : row->planned) {
         lease.planned.emplace(upstream_id{id}, named);
     }
+    for (const loaded_weights &each : row->loaded) {
+        const auto found = s.state.upstreams.find(each.upstream);
+        if (found != s.state.upstreams.end()) {
+            weight_version &present = found->second.entry.weights[each.model];
+            present = std::max(present, each.version);
+        }
+    }
     if (lease.held && (row->holder != s.state.self.host || row->incarnation != s.state.incarnation)) {
         loseLease(s, "held by " + row->holder.value);
     }
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -93,6 +93,27 @@
     EXPECT_EQ(world.runsStarted(), 0U);
 }
 
+TEST(node_batches, whileTheStoreIsKnownToBeAwayABatchIsRefusedAtOnce)
+{
+    // Pattern: the store is away for seven seconds and a trainer has two tries; the first must not use up the
+    // time of the second.
+    node_world world(14);
+    world.run(kStart);
+    world.setStoreDown(true);
+    world.run(milliseconds{1500});
+    const batch what = node_world::makeBatch("b1", "m0", 1, pieces(4, 5));
+    const exchange_id first = world.handIn(0, what);
+    world.run(milliseconds{50});
+    ASSERT_NE(world.got<refuse_call>(first), nullptr);
+    EXPECT_EQ(world.got<refuse_call>(first)->why, refusal::not_run);
+    world.run(world.got<refuse_call>(first)->comeBackAfter);
+    world.setStoreDown(false);
+    world.run(milliseconds{800});
+    const exchange_id second = world.handIn(1, what);
+    world.run(milliseconds{100});
+    EXPECT_NE(world.got<accept_batch>(second), nullptr);
+}
+
 TEST(node_batches, lateWriteIsNotCalledNotRun)
 {
     node_world world(5);
--- a/tests/test_node_weights.cpp
+++ b/tests/test_node_weights.cpp
@@ -141,6 +141,26 @@
     EXPECT_GE(serving, 5U);
 }
 
+TEST(node_weights, aLoadIsKnownEverywhereBeforeTheListShowsIt)
+{
+    // Pattern: the list of upstreams shows a load one to two seconds late; a step's items wait for it that
+    // long.
+    node_world world(6, 3, 6);
+    world.run(kStart);
+    world.nameVersion("m0", 2);
+    const auto known = [&](std::size_t daemon) {
+        return std::ranges::any_of(world.state(daemon).upstreams, [](const auto &each) {
+            const auto found = each.second.entry.weights.find({"m0"});
+            return found != each.second.entry.weights.end() && found->second.value >= 2;
+        });
+    };
+    ASSERT_TRUE(world.runUntil([&] { return holders(world, 6, "m0", 2) > 0; }, milliseconds{6000}));
+    world.run(milliseconds{400});
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+        EXPECT_TRUE(known(i)) << i;
+    }
+}
+
 TEST(node_weights, aLargeFleetLoadsManyAtOnce)
 {
     // Pattern: 45 upstreams and two loads at a time leave most of them without the version that a step
