--- a/tests/standins/node_world.h
+++ b/tests/standins/node_world.h
@@ -34,6 +34,12 @@
 using world_answer = std::variant<std::monostate, node::answer_call, node::refuse_call, node::accept_batch,
                                   node::answer_page, node::answer_item, node::answer_ended>;
 
+/// Lease time that all daemons of the world are told.
+inline constexpr milliseconds kWorldLease{3000};
+
+/// Data of an item's piece; the world checks texts against it.
+std::string worldPiece(const node::item_id &id, std::uint64_t number);
+
 class node_world
 {
 public:
