--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -26,6 +26,12 @@
     milliseconds stopGrace{8000};
     /// Share of a processor that this host has.
     double processorShare = 1;
+    /// Calls that the store takes from all daemons together, a second.
+    double storeReadsPerSecond = 2000;
+    double storeWritesPerSecond = 800;
+    /// Fleets of at least this size read the table of upstreams together: a few daemons from the store, the
+    /// others from these.
+    std::size_t sharedReadingFrom = 100;
 };
 
 /// Row of a daemon in the table of daemons.
@@ -88,6 +94,9 @@
     op_id run;
     upstream_id upstream;
     instant startedAt{};
+    /// For the log: start of its first run here, and its end.
+    instant firstStartedAt{};
+    instant finishedAt{};
     instant lastPieceAt{};
     std::uint64_t piecesAtStart = 0;
     /// Tokens booked at the upstream for this run.
@@ -120,6 +129,7 @@
     /// Being handed over: nothing new is started or listed.
     bool handingOver = false;
     instant nextCheckpoint{};
+    instant ownedAt{};
 };
 
 /// A batch whose acceptance is not yet proved.
@@ -160,6 +170,11 @@
     double bestPaceMs = 0;
     /// When this process itself measured the pace.
     instant paceMeasuredAt{};
+    /// Last piece of any run of this process there.
+    instant lastPieceAt{};
+    /// Its row as it was last read, and the table's version at which that changed in substance.
+    upstream_entry listed;
+    std::uint64_t listedVersion = 0;
     /// Smoothed time of a forwarded call; 0 where unknown.
     double callMs = 0;
     std::uint64_t rowVersion = 0;
@@ -169,6 +184,7 @@
 struct table_feed
 {
     table_id table = table_id::operators;
+    /// Pause between two reads; grows with the fleet.
     milliseconds pace{0};
     milliseconds wait{0};
     std::vector<std::string> parts;
@@ -178,7 +194,10 @@
     std::uint64_t version = 0;
     /// Version of the first answer of a whole read; changes are followed from there.
     std::uint64_t wholeReadVersion = 0;
-    std::set<row_key> seen;
+    /// Keys that came with the whole read.
+    std::set<std::string> seen;
+    /// Other daemons that were asked in vain since the last answer.
+    unsigned askedInVain = 0;
     op_id running;
     instant nextAt{};
     instant answeredAt{};
@@ -370,6 +389,8 @@
     route_table config;
     std::map<model_id, weight_version> named;
     std::map<upstream_id, upstream_view> upstreams;
+    /// Upstreams that went, oldest first, with the table's version, for daemons that ask for news.
+    std::deque<std::pair<std::uint64_t, upstream_id>> goneUpstreams;
     std::map<host_id, member> members;
     std::map<batch_id, batch_head> heads;
     /// Rows of heads came with the present event.
@@ -383,7 +404,6 @@
     weights_conductor conductor;
 
     std::uint64_t ownRowVersion = 0;
-    bool ownRowKnown = false;
     std::uint64_t beats = 0;
     bool beatRunning = false;
     instant nextBeatAt{};
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -180,13 +180,27 @@
     std::map<model_id, weight_version> weights;
 };
 
+/// Another daemon asks for changes of the table of upstreams.
+struct news_asked
+{
+    exchange_id exchange;
+    std::uint64_t after = 0;
+};
+
+/// Answer of another daemon.
+struct news_arrived
+{
+    op_id op;
+    upstream_news news;
+};
+
 struct stop_requested
 {};
 
-using event
-        = std::variant<started, tick, call_received, batch_received, page_asked, item_asked, batch_end_asked,
-                       caller_gone, rows_arrived, history_gone, rows_committed, rows_conflict, store_failed,
-                       run_progressed, run_ended, call_ended, load_reported, stop_requested>;
+using event = std::variant<started, tick, call_received, batch_received, page_asked, item_asked,
+                           batch_end_asked, caller_gone, rows_arrived, history_gone, rows_committed,
+                           rows_conflict, store_failed, run_progressed, run_ended, call_ended, load_reported,
+                           news_asked, news_arrived, stop_requested>;
 
 // Effects.
 
@@ -233,6 +247,20 @@
     milliseconds deadline{4000};
 };
 
+/// Asks another daemon instead of the store.
+struct ask_news
+{
+    op_id op;
+    endpoint peer;
+    std::uint64_t after = 0;
+};
+
+struct answer_news
+{
+    exchange_id exchange;
+    upstream_news news;
+};
+
 struct run_item
 {
     op_id op;
@@ -242,6 +270,8 @@
     batch_item item;
     /// Pieces that are already there; the run goes on after them.
     std::uint64_t after = 0;
+    /// 0 to 9, 0 first: an upstream that runs out of memory puts the least urgent run back.
+    unsigned urgency = 5;
     milliseconds progressTimeout{2000};
 };
 
@@ -370,10 +400,10 @@
 struct end_process
 {};
 
-using effect
-        = std::variant<read_rows, read_changes, commit_rows, run_item, forward_call, cancel_call, ask_load,
-                       order_weights, answer_call, refuse_call, accept_batch, answer_page, answer_item,
-                       answer_ended, set_readiness, set_relays, log_decision, count, observe, end_process>;
+using effect = std::variant<read_rows, read_changes, commit_rows, ask_news, answer_news, run_item,
+                            forward_call, cancel_call, ask_load, order_weights, answer_call, refuse_call,
+                            accept_batch, answer_page, answer_item, answer_ended, set_readiness, set_relays,
+                            log_decision, count, observe, end_process>;
 
 using effects = std::vector<effect>;
 
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -100,6 +100,32 @@
     std::map<model_id, weight_version> weights;
 
     auto operator<=>(const upstream_entry &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id.value, service.value, address.address, address.port, zone.value, slots, draining,
+                startedAtMs, weights);
+    }
+};
+
+/// What a daemon tells another of the table of upstreams: only what changed in substance.
+struct upstream_news
+{
+    /// False: the daemon asked knows too little, or could not be reached.
+    bool known = false;
+    /// Table's version up to which this tells.
+    std::uint64_t version = 0;
+    /// All upstreams are named; others are gone.
+    bool whole = false;
+    std::vector<upstream_entry> changed;
+    std::vector<upstream_id> gone;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(known, version, whole, changed, gone);
+    }
 };
 
 /// One generation of a batch. Headers and body are passed on as they came.
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -1,66 +1,41 @@
 #include "node_rows.h"
 
+#include "node_pack.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/map.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/utility.hpp>
-#include <cereal/types/vector.hpp>
-#include <sstream>
 
 namespace jacinthvale::node {
 
-namespace {
-
-/// First number of each value; a daemon ignores rows of another version.
-constexpr std::uint8_t kFormat = 1;
-
-template <typename... Values>
-std::string pack(const Values &...values)
-{
-    std::ostringstream stream(std::ios::binary);
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(kFormat, values...);
-    return std::move(stream).str();
-}
-
-/// Bytes behind the values are left alone where they may be left from a longer copy.
-enum class behind : std::uint8_t { nothing, anything };
-
-template <behind Rest = behind::nothing, typename... Values>
-bool unpack(const std::string &bytes, Values &...values)
+std::string partOf(const batch_id &id)
 {
-    try {
-        std::istringstream stream(bytes, std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(stream);
-        std::uint8_t format = 0;
-        archive(format);
-        if (format != kFormat) {
-            return false;
-        }
-        archive(values...);
-        return Rest == behind::anything || stream.peek() == std::istringstream::traits_type::eof();
-    } catch (const std::exception &) {
-        // Lengths in damaged bytes: cereal and the allocator throw; the caller logs the row.
-        return false;
-    }
+    return absl::StrFormat("b%d", stableHash(id.value) % kBatchParts);
 }
 
-} // namespace
-
-std::string partOf(const batch_id &id)
+std::string memberPart(const host_id &host)
 {
-    return absl::StrFormat("b%d", stableHash(id.value) % kBatchParts);
+    return absl::StrFormat("m%d", stableHash(host.value) % kMemberParts);
 }
 
-std::vector<std::string> batchParts()
+std::vector<std::string> partsOf(table_id table)
 {
-    std::vector<std::string> parts;
-    for (std::size_t i = 0; i < kBatchParts; ++i) {
-        parts.push_back(absl::StrFormat("b%d", i));
+    const auto numbered = [](char first, std::size_t number) {
+        std::vector<std::string> parts;
+        for (std::size_t i = 0; i < number; ++i) {
+            parts.push_back(absl::StrFormat("%c%d", first, i));
+        }
+        return parts;
+    };
+    switch (table) {
+    case table_id::daemons:
+        return numbered('m', kMemberParts);
+    case table_id::heads:
+    case table_id::items:
+    case table_id::results:
+        return numbered('b', kBatchParts);
+    default:
+        return {""};
     }
-    return parts;
 }
 
 std::string firstItemsKey(const batch_id &id)
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -15,7 +15,14 @@
 
 /// Part of a batch's rows.
 std::string partOf(const batch_id &id);
-std::vector<std::string> batchParts();
+
+/// Parts over which the daemons' rows are spread: their beats must not fill the part of the lease. 300
+/// daemons write 167 rows a second, and one part takes 200.
+inline constexpr std::size_t kMemberParts = 4;
+std::string memberPart(const host_id &host);
+
+/// All parts of a table.
+std::vector<std::string> partsOf(table_id table);
 
 /// Key of a fragment of a batch's items, of its progress, or of a listed result.
 std::string itemsKey(const batch_id &id, std::size_t fragment);
--- a/src/node_store_link.cpp
+++ b/src/node_store_link.cpp
@@ -1,9 +1,8 @@
 #include "node_store_link.h"
 
+#include "node_pack.h"
+
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <sstream>
 
 namespace jacinthvale::node {
 
@@ -31,29 +30,6 @@
 constexpr milliseconds kFirstPause{20};
 constexpr milliseconds kLongestPause{200};
 
-template <typename Value>
-std::string pack(const Value &value)
-{
-    std::ostringstream stream(std::ios::binary);
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(value);
-    return std::move(stream).str();
-}
-
-template <typename Value>
-std::optional<Value> unpack(const std::string &bytes)
-{
-    try {
-        std::istringstream stream(bytes, std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(stream);
-        Value value;
-        archive(value);
-        return value;
-    } catch (const std::exception &) {
-        return std::nullopt;
-    }
-}
-
 attempt_end endOf(const http_call_finished &finished)
 {
     switch (finished.outcome) {
@@ -129,18 +105,22 @@
     , m_now(std::move(now))
 {}
 
+store_link::~store_link() = default;
+
 void store_link::start(store_request request, milliseconds deadline, std::function<void(store_answer)> done)
 {
-    // The timer keeps the operation alive between two attempts through this pointer.
-    auto self = std::make_shared<std::shared_ptr<operation>>();
-    auto op = std::make_shared<operation>(m_base, [this, self] { attempt(std::shared_ptr(*self)); });
+    const std::uint64_t number = ++m_lastOperation;
+    const auto op = std::make_shared<operation>(m_base, [this, number] {
+        // A copy: the attempt may end the operation.
+        attempt(std::shared_ptr(m_operations.at(number)));
+    });
     op->request = std::move(request);
     op->deadline = m_now() + deadline;
-    op->done = [self, done = std::move(done)](const store_answer &answer) {
+    op->done = [this, number, done = std::move(done)](const store_answer &answer) {
+        m_operations.erase(number);
         done(answer);
-        self->reset();
     };
-    *self = op;
+    m_operations.emplace(number, op);
     attempt(op);
 }
 
@@ -184,12 +164,12 @@
                                          {});
                                    return;
                                }
-                               auto answer = unpack<relayed_answer>(finished.body);
-                               if (!answer) {
+                               relayed_answer answer;
+                               if (!unpack(finished.body, answer)) {
                                    ended(op, by, attempt_end::unclear, 0, {});
                                    return;
                                }
-                               ended(op, by, answer->end, answer->status, std::move(answer->body));
+                               ended(op, by, answer.end, answer.status, std::move(answer.body));
                            }});
 }
 
@@ -212,15 +192,15 @@
 
 void store_link::relay(const std::string &bytes, std::function<void(std::string)> done)
 {
-    auto asked = unpack<relayed_call>(bytes);
-    if (!asked || !m_chooser.directIsGood(m_now())) {
+    relayed_call asked;
+    if (!unpack(bytes, asked) || !m_chooser.directIsGood(m_now())) {
         done(pack(relayed_answer{}));
         return;
     }
-    call_http call = makeCall(m_store, milliseconds{asked->timeoutMs});
-    call.method = std::move(asked->method);
-    call.path = std::move(asked->path);
-    call.body = std::move(asked->body);
+    call_http call = makeCall(m_store, milliseconds{asked.timeoutMs});
+    call.method = std::move(asked.method);
+    call.path = std::move(asked.path);
+    call.body = std::move(asked.body);
     m_client->start(call, {{}, {}, [this, done = std::move(done)](http_call_finished finished) {
                                const attempt_end end = endOf(finished);
                                m_chooser.note(std::nullopt, end, m_now());
--- a/src/node_store_link.h
+++ b/src/node_store_link.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <jacinthvale/event_timer.h>
 #include <jacinthvale/http_client.h>
+#include <map>
+#include <memory>
 
 namespace jacinthvale::node {
 
@@ -88,6 +90,9 @@
     using clock = std::function<instant()>;
 
     store_link(event_base *base, http_client &client, endpoint store, clock now);
+    store_link(const store_link &) = delete;
+    store_link &operator=(const store_link &) = delete;
+    ~store_link();
 
     void setPeers(std::vector<endpoint> peers) { m_chooser.setPeers(std::move(peers)); }
     /// Status 0 in the answer: out of time.
@@ -109,6 +114,9 @@
     clock m_now;
     way_chooser m_chooser;
     std::uint64_t m_draw = 0;
+    /// Those that wait for an answer or for the next attempt.
+    std::map<std::uint64_t, std::shared_ptr<operation>> m_operations;
+    std::uint64_t m_lastOperation = 0;
 };
 
 } // namespace jacinthvale::node
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -5,6 +5,7 @@
 #include "platform_port.h"
 #include "wire_names.h"
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <regex>
@@ -141,6 +142,24 @@
     EXPECT_EQ(page["results"][0]["versions"][1], 7);
 }
 
+TEST(platform_wire, aRunNamesItsUpstreamItsUrgencyAndWhereItGoesOn)
+{
+    node::run_item run;
+    run.upstream = {"i-1"};
+    run.host = "h.example";
+    run.item.id = {"e1"};
+    run.item.path = "/p/1";
+    run.after = 7;
+    run.urgency = 3;
+    const call_http call = platform::encodeRunCall(run);
+    EXPECT_EQ(call.headers.at("Jacinthvale-Expect-Instance"), "i-1");
+    EXPECT_EQ(call.headers.at("Jacinthvale-Request-Priority"), "3");
+    EXPECT_EQ(call.headers.at("Last-Event-Id"), "7");
+    EXPECT_EQ(call.headers.at("Jacinthvale-Attempt-Id"), "e1");
+    run.after = 0;
+    EXPECT_FALSE(platform::encodeRunCall(run).headers.contains("Last-Event-Id"));
+}
+
 TEST(platform_wire, settingsWithoutANeededFieldAreRefusedInOneClearLine)
 {
     const auto settings = readNodeSettings(R"({"host":"h"})");
@@ -186,4 +205,26 @@
     }
 }
 
+// The leak checker at the end of the process tells whether an operation is left behind.
+TEST(store_link, operationsThatStillWaitEndWithTheLink)
+{
+    const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), &event_base_free);
+    bool answered = false;
+    {
+        http_client client(base.get());
+        const auto steady = [] {
+            return instant{std::chrono::duration_cast<milliseconds>(
+                    std::chrono::steady_clock::now().time_since_epoch())};
+        };
+        // Nobody listens at port 1: the operation waits for its next attempt.
+        store_link link(base.get(), client, {"127.0.0.1", 1}, steady);
+        link.start({"GET", "/", {}, false, {}}, milliseconds{60'000},
+                   [&](const store_answer &) { answered = true; });
+        for (int i = 0; i < 20; ++i) {
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        }
+    }
+    EXPECT_FALSE(answered);
+}
+
 } // namespace jacinthvale
