Runs that stand still move; texts beyond their guess are booked; runs that decide a step are urgent

Change: a run names its urgency by the slack of its item, spare groups last; a run that made more than its client guessed is booked for what it made; a run without a piece for 400 ms while others at its upstream go on moves to one with room, unless its upstream loads weights. The deal and the median pace are worked out once a moment (outlook_cache). A first form also moved runs off upstreams that load; it made bursts of moves and was cut.

--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -48,6 +48,16 @@
 /// Tokens of a prompt where only the sum with the output is known.
 constexpr double kUsualPrompt = 300;
 
+/// Urgencies of runs, and the slack in ms below which each counts. An upstream short of memory stalls the
+/// least urgent run until another ends, which takes a second or two: runs with less slack than that come
+/// first.
+constexpr unsigned kTightUrgency = 1;
+constexpr unsigned kSoonUrgency = 3;
+constexpr unsigned kUsualUrgency = 5;
+constexpr unsigned kSpareUrgency = 8;
+constexpr double kTightSlackMs = 800;
+constexpr double kSoonSlackMs = 2500;
+
 /// A run is expected to go on for this share of what it has made, at least.
 constexpr double kGoesOnShare = 0.4;
 
@@ -203,6 +213,13 @@
     return *middle;
 }
 
+bool isLoading(const node_state &state, const upstream_id &id, instant now)
+{
+    const auto named = state.conductor.planned.find(id);
+    return named != state.conductor.planned.end()
+           && storeTime(state, now) < named->second + static_cast<std::uint64_t>(kLoadSpan.count());
+}
+
 bool isPaceFresh(const upstream_view &view, instant now)
 {
     return view.paceMs > 0 && now - view.paceAt <= kPaceAge;
@@ -216,15 +233,18 @@
     return view.bestPaceMs > 0 ? view.bestPaceMs : median;
 }
 
+const service_outlook &outlook_cache::of(const service_id &service)
+{
+    const auto [found, fresh] = m_outlooks.try_emplace(service);
+    if (fresh) {
+        found->second = {dealOf(m_state, service), medianPace(m_state, service, m_now)};
+    }
+    return found->second;
+}
+
 std::optional<upstream_id> placeRun(const node_state &state, const run_wish &wish, instant now)
 {
-    const std::uint64_t storeNow = storeTime(state, now);
-    const auto loads = [&](const upstream_id &id) {
-        const auto named = state.conductor.planned.find(id);
-        return named != state.conductor.planned.end()
-               && storeNow < named->second + static_cast<std::uint64_t>(kLoadSpan.count());
-    };
-    const double median = medianPace(state, wish.service, now);
+    const double median = wish.outlook->medianPaceMs;
     const auto limits = state.config.engines.find(wish.service);
     const double memory = limits == state.config.engines.end() ? 0 : limits->second.memoryTokens;
     std::optional<upstream_id> best;
@@ -232,12 +252,12 @@
     bool bestDealt = false;
     for (const auto &[id, view] : state.upstreams) {
         if (!isUsable(view, wish.service, now) || versionOf(view, wish.model) < wish.minVersion
-            || view.running >= view.entry.slots || loads(id)
+            || view.running >= view.entry.slots || isLoading(state, id, now)
             || (wish.onlyKnownPace && !isPaceFresh(view, now))) {
             continue;
         }
-        const auto share = wish.deal->find(id);
-        const bool dealt = share != wish.deal->end() && share->second == wish.model;
+        const auto share = wish.outlook->deal.find(id);
+        const bool dealt = share != wish.outlook->deal.end() && share->second == wish.model;
         const double crowding = kCrowdingPerSlot * view.running / std::max(1U, view.entry.slots);
         const double pace = median > 0 ? paceOf(view, median, now) / median : 1.0;
         double cost = (wish.isShort && pace < kTroubledFactor ? 1.0 / pace : pace) * (1.0 + crowding);
@@ -245,6 +265,9 @@
             cost *= kOtherZoneFactor;
         }
         if (memory > 0 && view.running > 0 && view.booked + wish.tokens > memory) {
+            if (wish.onlyWithRoom) {
+                continue;
+            }
             cost *= kCrampedFactor;
         }
         if (!best || (dealt && !bestDealt) || (dealt == bestDealt && cost < bestCost)) {
@@ -281,6 +304,14 @@
     return std::min(most, std::max(guessed, kGoesOnShare * made));
 }
 
+double expectedTokens(const node_state &state, const service_id &service, const owned_item &item)
+{
+    const auto limits = state.config.engines.find(service);
+    const double perPiece = limits == state.config.engines.end() ? 0 : limits->second.tokensPerPiece;
+    const double made = kUsualPrompt + perPiece * static_cast<double>(item.pieces) * (1 + kGoesOnShare);
+    return std::max(expectedTokens(item.item), std::min<double>(item.item.tokens, made));
+}
+
 std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
                                      const std::set<upstream_id> &tried, instant now)
 {
@@ -325,13 +356,24 @@
 }
 
 double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
-                     const route &by, instant now)
+                     const route &by, outlook_cache &outlooks)
 {
     const service_id service = drawService(by, stableHash(item.item.id.value));
-    const double median = medianPace(state, service, now);
+    const double median = outlooks.of(service).medianPaceMs;
     const double work = expectedPiecesLeft(state, service, item) * (median > 0 ? median : kUsualPaceMs);
     const auto due = static_cast<double>(by.due.count());
     return static_cast<double>(batch.acceptedAtMs) + due - work + (item.spare ? due : 0);
 }
 
+unsigned urgencyOf(double slackMs, bool spare)
+{
+    if (spare) {
+        return kSpareUrgency;
+    }
+    if (slackMs < kTightSlackMs) {
+        return kTightUrgency;
+    }
+    return slackMs < kSoonSlackMs ? kSoonUrgency : kUsualUrgency;
+}
+
 } // namespace jacinthvale::node
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -30,26 +30,55 @@
 /// Median time between pieces over the upstreams that have a fresh one; 0 where none has.
 double medianPace(const node_state &state, const service_id &service, instant now);
 
+/// True where the upstream was named for a load of weights of late: it starts nothing, and its runs may
+/// pause.
+bool isLoading(const node_state &state, const upstream_id &id, instant now);
+
 /// True where the upstream's pace was measured of late, here or by another daemon.
 bool isPaceFresh(const upstream_view &view, instant now);
 
 /// Pace of an upstream; where that is old or unknown its best one, or the median.
 double paceOf(const upstream_view &view, double median, instant now);
 
+/// What the choices of one moment share: the deal of a service's upstreams and their median pace.
+struct service_outlook
+{
+    std::map<upstream_id, model_id> deal;
+    double medianPaceMs = 0;
+};
+
+/// Outlooks of one moment, each worked out when it is first asked for.
+class outlook_cache
+{
+public:
+    outlook_cache(const node_state &state, instant now)
+        : m_state(state)
+        , m_now(now)
+    {}
+    const service_outlook &of(const service_id &service);
+
+private:
+    const node_state &m_state;
+    instant m_now;
+    std::map<service_id, service_outlook> m_outlooks;
+};
+
 /// What a generation needs of an upstream.
 struct run_wish
 {
     service_id service;
     model_id model;
     weight_version minVersion;
-    /// Upstreams of the model; others are taken only where none of these has room.
-    const std::map<upstream_id, model_id> *deal = nullptr;
+    /// Upstreams of the model are in its deal; others are taken only where none of these has room.
+    const service_outlook *outlook = nullptr;
     /// Tokens that it is expected to reach.
     double tokens = 0;
     /// The item is short: fast upstreams are left to others.
     bool isShort = false;
     /// Only upstreams whose pace was measured of late.
     bool onlyKnownPace = false;
+    /// Only upstreams whose memory holds the run.
+    bool onlyWithRoom = false;
 };
 
 /// Upstream for a generation of this model with weights of at least this version; none where all are full.
@@ -58,6 +87,9 @@
 /// Tokens that an item's prompt and output are expected to reach.
 double expectedTokens(const batch_item &item);
 
+/// Tokens that a run is expected to reach by what it has made: guesses of clients are often far off.
+double expectedTokens(const node_state &state, const service_id &service, const owned_item &item);
+
 /// True where the item is expected to be much shorter than the longest one possible.
 bool isShort(const batch_item &item);
 
@@ -75,6 +107,10 @@
 /// Store's time at which an item must start to be there when its batch is due; that of a spare one is later
 /// by the whole time of a batch. Items start in this order, whatever batch they are of.
 double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
-                     const route &by, instant now);
+                     const route &by, outlook_cache &outlooks);
+
+/// Urgency of a run at its upstream, 0 to 9 and 0 first.
+/// @param slackMs time until its item must start to be there in time.
+unsigned urgencyOf(double slackMs, bool spare);
 
 } // namespace jacinthvale::node
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -35,6 +35,10 @@
 constexpr milliseconds kLeastStay{250};
 constexpr unsigned kMostMoves = 6;
 
+/// A run without a piece for this long, while others at its upstream make theirs, is stalled: eight pieces at
+/// the usual pace. Memory comes free there only when another run ends, a second or more later.
+constexpr milliseconds kStallTime{400};
+
 /// Pause between two looks for runs that are better off elsewhere.
 constexpr milliseconds kMovePause{100};
 
@@ -74,29 +78,58 @@
     item.phase = item_phase::waiting;
 }
 
-void finish(owned_batch &batch, std::size_t index, item_state outcome)
+void finish(step &s, owned_batch &batch, std::size_t index, item_state outcome)
 {
     owned_item &item = batch.items[index];
     item.phase = item_phase::finished;
     item.outcome = outcome;
+    item.finishedAt = s.at.now;
     batch.finished.push_back(index);
 }
 
-void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target)
+void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
 {
     owned_item &item = batch.items[index];
     upstream_view &view = s.state.upstreams.at(target);
     ++view.running;
-    item.booked = expectedTokens(item.item);
+    item.booked = expectedTokens(s.state, view.entry.service, item);
     view.booked += item.booked;
     item.phase = item_phase::running;
     item.upstream = target;
     item.startedAt = s.at.now;
+    if (item.firstStartedAt == instant{}) {
+        item.firstStartedAt = s.at.now;
+    }
     item.lastPieceAt = s.at.now;
     item.piecesAtStart = item.pieces;
     item.run = s.open(for_run{batch.what.id, index, target});
+    const double slack = latestStart - static_cast<double>(storeTime(s.state, s.at.now));
     s.emit(run_item{item.run, view.entry.address, target, batch.what.host, item.item, item.pieces,
-                    kRunSilence});
+                    urgencyOf(slack, item.spare), kRunSilence});
+}
+
+/// Books what a run that goes on beyond its guess will need.
+void rebook(step &s, owned_item &item)
+{
+    const auto found = s.state.upstreams.find(item.upstream);
+    if (found == s.state.upstreams.end()) {
+        return;
+    }
+    const double needed = expectedTokens(s.state, found->second.entry.service, item);
+    if (needed > item.booked) {
+        found->second.booked += needed - item.booked;
+        item.booked = needed;
+    }
+}
+
+/// True where the run stands still while others at its upstream go on: it was put back for want of memory, or
+/// waits in the queue.
+bool isStalled(const step &s, const owned_item &item)
+{
+    const auto found = s.state.upstreams.find(item.upstream);
+    return found != s.state.upstreams.end() && !isLoading(s.state, item.upstream, s.at.now)
+           && s.at.now - item.lastPieceAt >= kStallTime
+           && found->second.lastPieceAt >= item.lastPieceAt + kStallTime;
 }
 
 void notePace(step &s, const upstream_id &id, double milliseconds)
@@ -149,6 +182,7 @@
         service_id service;
     };
     std::vector<candidate> waiting;
+    outlook_cache outlooks(state, s.at.now);
     for (auto &[id, batch] : state.owned) {
         const route *by = findRoute(state.config, batch.what.host, batch.what.path);
         if (by == nullptr || batch.handingOver) {
@@ -157,13 +191,12 @@
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
             if (item.phase == item_phase::waiting) {
-                waiting.push_back({latestStartMs(state, batch, item, *by, s.at.now), &batch, i,
+                waiting.push_back({latestStartMs(state, batch, item, *by, outlooks), &batch, i,
                                    drawService(*by, stableHash(item.item.id.value))});
             }
         }
     }
     std::ranges::sort(waiting, {}, &candidate::latest);
-    std::map<service_id, std::map<upstream_id, model_id>> deals;
     std::set<std::tuple<service_id, model_id, weight_version>> full;
     for (const candidate &next : waiting) {
         const batch &what = next.batch->what;
@@ -171,22 +204,49 @@
         if (full.contains(key)) {
             continue;
         }
-        if (!deals.contains(next.service)) {
-            deals[next.service] = dealOf(state, next.service);
-        }
         const batch_item &item = next.batch->items[next.index].item;
         const auto target = placeRun(state,
-                                     {next.service, what.model, what.minVersion, &deals[next.service],
+                                     {next.service, what.model, what.minVersion, &outlooks.of(next.service),
                                       expectedTokens(item), isShort(item), false},
                                      s.at.now);
         if (!target) {
             full.insert(key);
             continue;
         }
-        startRun(s, *next.batch, next.index, *target);
+        startRun(s, *next.batch, next.index, *target, next.latest);
     }
 }
 
+namespace {
+
+/// Upstream that a run is better off at; none where it should stay.
+std::optional<upstream_id> betterPlace(const step &s, const owned_batch &batch, const owned_item &item,
+                                       double left, const service_id &service, outlook_cache &outlooks)
+{
+    const service_outlook &outlook = outlooks.of(service);
+    const auto here = s.state.upstreams.find(item.upstream);
+    if (outlook.medianPaceMs <= 0 || here == s.state.upstreams.end()) {
+        return std::nullopt;
+    }
+    const double pace = paceOf(here->second, outlook.medianPaceMs, s.at.now);
+    const bool stalled = isStalled(s, item);
+    if (!stalled && left * pace < kWorthMovingMs) {
+        return std::nullopt;
+    }
+    const auto target = placeRun(s.state,
+                                 {service, batch.what.model, batch.what.minVersion, &outlook,
+                                  expectedTokens(s.state, service, item), false, true, stalled},
+                                 s.at.now);
+    if (!target || *target == item.upstream || stalled) {
+        return target == item.upstream ? std::nullopt : target;
+    }
+    const double there = paceOf(s.state.upstreams.at(*target), outlook.medianPaceMs, s.at.now);
+    const bool worthIt = left * (pace - there) >= std::max(kWorthMovingMs, kWorthMovingShare * left * pace);
+    return worthIt ? target : std::nullopt;
+}
+
+} // namespace
+
 void moveStragglers(step &s)
 {
     node_state &state = s.state;
@@ -194,6 +254,7 @@
         return;
     }
     state.nextMoveAt = s.at.now + kMovePause;
+    outlook_cache outlooks(state, s.at.now);
     for (auto &[id, batch] : state.owned) {
         const route *by = findRoute(state.config, batch.what.host, batch.what.path);
         if (by == nullptr || batch.handingOver) {
@@ -217,25 +278,8 @@
         std::ranges::sort(candidates, std::greater<>{}, &candidate::left);
         for (const auto &[left, index, service] : candidates) {
             owned_item &item = batch.items[index];
-            const double median = medianPace(state, service, s.at.now);
-            const auto here = state.upstreams.find(item.upstream);
-            if (median <= 0 || here == state.upstreams.end()) {
-                continue;
-            }
-            const double pace = paceOf(here->second, median, s.at.now);
-            if (left * pace < kWorthMovingMs) {
-                break;
-            }
-            const auto deal = dealOf(state, service);
-            const auto target = placeRun(state,
-                                         {service, batch.what.model, batch.what.minVersion, &deal,
-                                          expectedTokens(item.item), false, true},
-                                         s.at.now);
-            if (!target || *target == item.upstream) {
-                continue;
-            }
-            const double saved = left * (pace - paceOf(state.upstreams.at(*target), median, s.at.now));
-            if (saved < std::max(kWorthMovingMs, kWorthMovingShare * left * pace)) {
+            const auto target = betterPlace(s, batch, item, left, service, outlooks);
+            if (!target) {
                 continue;
             }
             s.log("run-moved", item.item.id.value,
@@ -244,7 +288,7 @@
             s.emit(count{"runs_moved"});
             ++item.moves;
             stopRun(s, item);
-            startRun(s, batch, index, *target);
+            startRun(s, batch, index, *target, latestStartMs(state, batch, item, *by, outlooks));
         }
     }
 }
@@ -294,6 +338,10 @@
                          / static_cast<double>(progress.pieces.size()));
     }
     item->lastPieceAt = s.at.now;
+    rebook(s, *item);
+    if (const auto view = s.state.upstreams.find(what.upstream); view != s.state.upstreams.end()) {
+        view->second.lastPieceAt = s.at.now;
+    }
 }
 
 void onRunEnded(step &s, const for_run &what, call_end end)
@@ -309,7 +357,7 @@
     switch (end) {
     case call_end::complete:
         s.emit(observe{"item_run_ms", static_cast<double>((s.at.now - item.startedAt).count())});
-        finish(batch, what.item, item_state::succeeded);
+        finish(s, batch, what.item, item_state::succeeded);
         listFinished(s, batch);
         break;
     case call_end::not_run:
@@ -323,14 +371,14 @@
         ++item.failures;
         s.log("run-failed", id, what.upstream.value + ", failure " + std::to_string(item.failures));
         if (by != nullptr && item.failures >= by->maxAttempts) {
-            finish(batch, what.item, item_state::lost);
+            finish(s, batch, what.item, item_state::lost);
             listFinished(s, batch);
         }
         break;
     }
     case call_end::impossible:
         s.log("item-impossible", id, what.upstream.value);
-        finish(batch, what.item, item_state::lost);
+        finish(s, batch, what.item, item_state::lost);
         listFinished(s, batch);
         break;
     case call_end::broken:
--- a/tests/standins/node_world_upstreams.cpp
+++ b/tests/standins/node_world_upstreams.cpp
@@ -60,6 +60,10 @@
         end(call_end::broken);
         return;
     }
+    if (run.stalledUntil > m_now) {
+        at(run.stalledUntil, [=, this] { makePiece(daemon, op, life); });
+        return;
+    }
     const item_id id = run.what.item.id;
     ++run.made;
     std::uint64_t version = 0;
@@ -153,6 +157,20 @@
     at(m_now + kUpstreamBeat, [this] { beatUpstreams(); });
 }
 
+bool node_world::stallNewestRun(std::size_t upstream, milliseconds time)
+{
+    running_run *newest = nullptr;
+    for (auto &[key, run] : m_runs) {
+        if (run.what.upstream == m_upstreams.at(upstream).entry.id) {
+            newest = &run;
+        }
+    }
+    if (newest != nullptr) {
+        newest->stalledUntil = m_now + time;
+    }
+    return newest != nullptr;
+}
+
 void node_world::crashUpstream(std::size_t upstream)
 {
     world_upstream &each = m_upstreams.at(upstream);
--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -141,6 +141,40 @@
     EXPECT_EQ(world.faultText(), "");
 }
 
+TEST(node_placement, aRunThatWasPutBackGoesOnElsewhere)
+{
+    // Pattern: texts grow beyond their guesses, an upstream's memory is full, and the run that it puts back
+    // stands still until another ends.
+    node_world world(5, 3, 4);
+    world.run(kStart);
+    const batch what = node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(12, 60));
+    world.handIn(0, what);
+    world.run(milliseconds{800});
+    const std::size_t before = world.runsStarted();
+    constexpr milliseconds kPutBack{15'000};
+    ASSERT_TRUE(world.stallNewestRun(0, kPutBack) || world.stallNewestRun(1, kPutBack));
+    const instant stalled = world.now();
+    ASSERT_TRUE(world.runUntil([&] { return world.allListed(what); }, milliseconds{30'000}));
+    EXPECT_GT(world.runsStarted(), before);
+    // Short of the time after which a silent run is given up.
+    EXPECT_LT(world.now() - stalled, milliseconds{4000});
+    EXPECT_EQ(world.faultText(), "");
+}
+
+TEST(node_placement, aRunBeyondItsGuessIsBookedForWhatItMade)
+{
+    node_state state;
+    state.config.engines[{"e"}] = {{{"m"}}, 30'000, 50};
+    owned_item item;
+    item.item.tokens = 8000;
+    item.item.expectedOutput = 500;
+    EXPECT_EQ(expectedTokens(state, {"e"}, item), expectedTokens(item.item));
+    item.pieces = 60;
+    EXPECT_GE(expectedTokens(state, {"e"}, item), 3000);
+    item.pieces = 1000;
+    EXPECT_LE(expectedTokens(state, {"e"}, item), 8000);
+}
+
 TEST(node_placement, aDaemonThatHasNotWorkedYetKnowsThePacesOfTheOthers)
 {
     // Pattern: each step has another owner, and its longest items start before it has measured anything.
@@ -167,6 +201,16 @@
     }
 }
 
+// Pattern: an upstream's memory is full, one of its runs is put back for a second; it must not be the one
+// that decides the time of its step.
+TEST(node_placement, runsThatDecideAStepAreMoreUrgentThanSpareOnes)
+{
+    EXPECT_LT(urgencyOf(-3000, false), urgencyOf(2000, false));
+    EXPECT_LT(urgencyOf(2000, false), urgencyOf(6000, false));
+    EXPECT_LT(urgencyOf(6000, false), urgencyOf(-3000, true));
+    EXPECT_LE(urgencyOf(0, true), 9U);
+}
+
 TEST(node_placement, slotsOfAnUpstreamAreKeptTo)
 {
     node_world world(4, 3, 4);
