Fleets of hundreds: a few daemons read the upstreams for all, feeds keep to their share of the store

Each daemon read the whole table of upstreams, which changes 2,500 times a second, 500 rows at a time: 300 daemons asked for more reads than the store serves, none was up to date, and after a kill of all nobody served for 8.5 s. Beats shared one part with the lease. Ruled out: processor time (median 1.9%). Change: from 100 daemons on the eight largest read that table and tell the others what changed in substance (node_news.cpp); the paces of all feeds grow with the fleet so that they use half of the store's reads; beats lie in four parts and use a fifth of its writes; a daemon of a large fleet is ready before it knows the heads. A line on the slowest items of each batch.

--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -2,6 +2,7 @@
 #include "node_rows.h"
 #include "node_step.h"
 
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <range/v3/algorithm/all_of.hpp>
 #include <range/v3/numeric/accumulate.hpp>
@@ -66,6 +67,7 @@
 {
     const batch_id id = what.id;
     owned_batch owned;
+    owned.ownedAt = s.at.now;
     owned.epoch = epoch;
     owned.headVersion = headVersion;
     owned.acceptedAtMs = acceptedAtMs;
@@ -216,6 +218,33 @@
     }
 }
 
+namespace {
+
+/// One line on the items that came last: they decide the time of a step.
+void logSlowest(step &s, const owned_batch &batch)
+{
+    constexpr std::size_t kShown = 3;
+    std::vector<const owned_item *> finished;
+    for (const owned_item &item : batch.items) {
+        if (item.finishedAt != instant{}) {
+            finished.push_back(&item);
+        }
+    }
+    std::ranges::sort(finished, std::greater<>{}, [](const owned_item *item) { return item->finishedAt; });
+    finished.resize(std::min(finished.size(), kShown));
+    std::string text;
+    for (const owned_item *item : finished) {
+        text += absl::StrFormat(
+                "%s: pieces %d of %.0f expected tokens, waited %d ms, there after %d ms, moves %d%s; ",
+                item->item.id.value, item->pieces, expectedTokens(item->item),
+                (item->firstStartedAt - batch.ownedAt).count(), (item->finishedAt - batch.ownedAt).count(),
+                item->moves, item->spare ? ", spare" : "");
+    }
+    s.log("batch-slowest", batch.what.id.value, text);
+}
+
+} // namespace
+
 void dropOwned(step &s, const batch_id &id, const std::string &why)
 {
     const auto found = s.state.owned.find(id);
@@ -223,6 +252,7 @@
         return;
     }
     owned_batch &batch = found->second;
+    logSlowest(s, batch);
     const auto open = std::ranges::count_if(
             batch.items, [](const owned_item &item) { return item.phase != item_phase::listed; });
     for (owned_item &item : batch.items) {
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -8,19 +8,50 @@
 
 namespace {
 
-/// Pause between two reads of the upstreams' changes. Their rows change with each beat of each upstream; the
-/// bound for a leaving upstream is 2 s, so a change seen 0.4 s late leaves four fifths of it.
-constexpr milliseconds kUpstreamsPace{400};
+/// How a table is followed. A small fleet reads at the usual pace. Each daemon reads for itself, so a large
+/// one would use up what the store serves: there the paces grow with the fleet, up to the longest of the
+/// table.
+struct feed_plan
+{
+    table_id table;
+    milliseconds usual;
+    /// Pace of the same reads where they are shared out: that of a table's changes.
+    milliseconds crowded;
+    milliseconds longest;
+    /// Wait of the store for a change. A connection may go silent without a reset: the next question on a new
+    /// one must still come within the bound for a new configuration (2 s).
+    milliseconds wait;
+};
 
-/// Pause between two reads of the daemons' rows.
-constexpr milliseconds kDaemonsPace{350};
+/// Rows of upstreams change with each beat of each; the bound for a leaving one is 2 s, so a change that is
+/// seen 0.4 s late leaves four fifths of it, one seen 0.9 s late half. Configurations and versions are always
+/// told at once. What daemons miss of the heads they read when they are asked.
+constexpr feed_plan kFeedPlans[] = {
+        {table_id::operators, milliseconds{20}, milliseconds{20}, milliseconds{20}, milliseconds{1000}},
+        {table_id::upstreams, milliseconds{400}, milliseconds{400}, milliseconds{900}, milliseconds{0}},
+        {table_id::daemons, milliseconds{350}, milliseconds{350}, milliseconds{3000}, milliseconds{0}},
+        {table_id::heads, milliseconds{20}, milliseconds{200}, milliseconds{1000}, milliseconds{1000}},
+        {table_id::leases, milliseconds{20}, milliseconds{330}, milliseconds{1000}, milliseconds{1000}},
+};
 
-/// Longest wait for a change. A connection may go silent without a reset: the next question on a new one must
-/// still come within the bound for a new configuration (2 s).
-constexpr milliseconds kChangeWait{1000};
+/// Reads a second of one daemon at the usual paces, by the log of a busy day: 2.5 of upstreams, 2.9 of
+/// daemons, 5 of heads, 3 of leases, 1 of the operators.
+constexpr double kReadsPerDaemon = 14.4;
 
-/// Smallest pause between two reads of rows that seldom change.
-constexpr milliseconds kRarePace{20};
+/// Share of the store's reads that feeds may use; pages, items and take-overs need the rest.
+constexpr double kFeedShare = 0.5;
+
+milliseconds paceOf(const node_state &state, const feed_plan &plan)
+{
+    const double wanted = kReadsPerDaemon * static_cast<double>(state.members.size());
+    const double crowding = wanted / (kFeedShare * state.self.storeReadsPerSecond);
+    if (crowding <= 1) {
+        return plan.usual;
+    }
+    const milliseconds shared{
+            static_cast<std::int64_t>(crowding * static_cast<double>(plan.crowded.count()))};
+    return std::clamp(shared, plan.usual, plan.longest);
+}
 
 /// Pause after a failed read.
 constexpr milliseconds kRetryPause{100};
@@ -49,6 +80,11 @@
 void ask(step &s, table_feed &feed)
 {
     feed.running = s.open(for_feed{feed.table});
+    if (const auto peer = newsSource(s, feed)) {
+        s.emit(ask_news{feed.running, *peer, readingWhole(feed) ? 0 : feed.version});
+        return;
+    }
+    feed.askedInVain = 0;
     if (readingWhole(feed)) {
         s.emit(read_rows{feed.running, feed.table, feed.parts[feed.part], feed.from, {}});
         return;
@@ -56,44 +92,34 @@
     s.emit(read_changes{feed.running, feed.table, feed.version, feed.wait});
 }
 
-void onUpstreamRow(step &s, const row_change &change)
+void noteListed(upstream_view &view, const upstream_entry &entry, std::uint64_t version)
 {
-    const upstream_id id{change.what.key.key};
-    const auto *entry = std::get_if<upstream_entry>(&change.foreign);
-    if (entry == nullptr) {
-        if (!change.what.removed) {
-            s.log("upstream-unreadable", id.value, "row of another writer; not used");
-        }
-        if (s.state.upstreams.contains(id)) {
-            s.log("upstream-gone", id.value, change.what.removed ? "row removed" : "row unreadable");
-            s.state.upstreams.erase(id);
-        }
-        return;
-    }
-    const auto found = s.state.upstreams.find(id);
-    if (found == s.state.upstreams.end()) {
-        s.state.upstreams[id].entry = *entry;
-        s.log("upstream-seen", id.value, toString(entry->address));
-        return;
-    }
-    upstream_view &view = found->second;
-    if (view.entry.startedAtMs != entry->startedAtMs || view.entry.address != entry->address) {
-        const unsigned running = view.running;
-        // The process that starts anew keeps its weights, but what was told of the one before may be wrong.
-        view = {};
-        view.running = running;
-        s.log("upstream-restarted", id.value, toString(entry->address));
+    if (view.listed != entry) {
+        view.listed = entry;
+        view.listedVersion = version;
     }
-    if (!view.entry.draining && entry->draining) {
-        s.log("upstream-draining", id.value);
+}
+
+void forgetUpstream(step &s, const upstream_id &id, const std::string &why)
+{
+    s.log("upstream-gone", id.value, why);
+    s.state.upstreams.erase(id);
+    auto &gone = s.state.goneUpstreams;
+    // A removed row need not tell when it went: by the version that is read now it was gone.
+    const table_feed &feed = feedOf(s.state, table_id::upstreams);
+    gone.emplace_back(std::max(feed.version, feed.wholeReadVersion), id);
+    if (gone.size() > kMostGoneUpstreams) {
+        gone.pop_front();
     }
-    // The row may be older than what the conductor told; a process never goes back to older weights.
-    const auto known = std::move(view.entry.weights);
-    view.entry = *entry;
-    for (const auto &[model, version] : known) {
-        weight_version &present = view.entry.weights[model];
-        present = std::max(present, version);
+}
+
+void noteAnswer(step &s, table_feed &feed)
+{
+    if (s.at.now - feed.answeredAt > steadyGap(feed.pace)) {
+        feed.steadySince = s.at.now;
     }
+    feed.answeredAt = s.at.now;
+    feed.pace = readPace(s.state, feed.table);
 }
 
 void onOperatorRow(step &s, const row_change &change)
@@ -148,46 +174,94 @@
 /// After a whole read: what was known and did not come is gone.
 void dropUnseen(step &s, table_feed &feed)
 {
-    const auto seen = [&](const std::string &key) { return feed.seen.contains({feed.table, "", key}); };
     if (feed.table == table_id::upstreams) {
-        std::erase_if(s.state.upstreams, [&](const auto &known) {
-            if (seen(known.first.value)) {
-                return false;
-            }
-            s.log("upstream-gone", known.first.value, "not in the whole table");
-            return true;
-        });
+        keepUpstreams(s, feed.seen);
     }
     if (feed.table == table_id::daemons) {
-        std::erase_if(s.state.members, [&](const auto &known) { return !seen(known.first.value); });
+        std::erase_if(s.state.members,
+                      [&](const auto &known) { return !feed.seen.contains(known.first.value); });
     }
     feed.seen.clear();
 }
 
 } // namespace
 
+void onUpstreamRow(step &s, const row_change &change)
+{
+    const upstream_id id{change.what.key.key};
+    const auto *entry = std::get_if<upstream_entry>(&change.foreign);
+    if (entry == nullptr) {
+        if (!change.what.removed) {
+            s.log("upstream-unreadable", id.value, "row of another writer; not used");
+        }
+        if (s.state.upstreams.contains(id)) {
+            forgetUpstream(s, id, change.what.removed ? "row removed" : "row unreadable");
+        }
+        return;
+    }
+    const auto found = s.state.upstreams.find(id);
+    if (found == s.state.upstreams.end()) {
+        upstream_view &view = s.state.upstreams[id];
+        view.entry = *entry;
+        noteListed(view, *entry, change.what.version);
+        s.log("upstream-seen", id.value, toString(entry->address));
+        return;
+    }
+    upstream_view &view = found->second;
+    if (view.entry.startedAtMs != entry->startedAtMs || view.entry.address != entry->address) {
+        const unsigned running = view.running;
+        // The process that starts anew keeps its weights, but what was told of the one before may be wrong.
+        view = {};
+        view.running = running;
+        s.log("upstream-restarted", id.value, toString(entry->address));
+    }
+    noteListed(view, *entry, change.what.version);
+    if (!view.entry.draining && entry->draining) {
+        s.log("upstream-draining", id.value);
+    }
+    // The row may be older than what the conductor told; a process never goes back to older weights.
+    const auto known = std::move(view.entry.weights);
+    view.entry = *entry;
+    for (const auto &[model, version] : known) {
+        weight_version &present = view.entry.weights[model];
+        present = std::max(present, version);
+    }
+}
+
+void keepUpstreams(step &s, const std::set<std::string> &ids)
+{
+    std::vector<upstream_id> missing;
+    for (const auto &[id, view] : s.state.upstreams) {
+        if (!ids.contains(id.value)) {
+            missing.push_back(id);
+        }
+    }
+    for (const upstream_id &id : missing) {
+        forgetUpstream(s, id, "not in the whole table");
+    }
+}
+
 table_feed &feedOf(node_state &state, table_id table)
 {
     return *ranges::find(state.feeds, table, &table_feed::table);
 }
 
+milliseconds readPace(const node_state &state, table_id table)
+{
+    return paceOf(state, *ranges::find(kFeedPlans, table, &feed_plan::table));
+}
+
 void startFeeds(step &s)
 {
-    const auto add
-            = [&](table_id table, milliseconds pace, milliseconds wait, std::vector<std::string> parts) {
-                  table_feed feed;
-                  feed.table = table;
-                  feed.pace = pace;
-                  feed.wait = wait;
-                  feed.parts = std::move(parts);
-                  feed.nextAt = s.at.now;
-                  s.state.feeds.push_back(std::move(feed));
-              };
-    add(table_id::operators, kRarePace, kChangeWait, {""});
-    add(table_id::upstreams, kUpstreamsPace, milliseconds{0}, {""});
-    add(table_id::daemons, kDaemonsPace, milliseconds{0}, {""});
-    add(table_id::heads, kRarePace, kChangeWait, batchParts());
-    add(table_id::leases, kRarePace, kChangeWait, {""});
+    for (const feed_plan &plan : kFeedPlans) {
+        table_feed feed;
+        feed.table = plan.table;
+        feed.pace = plan.usual;
+        feed.wait = plan.wait;
+        feed.parts = partsOf(plan.table);
+        feed.nextAt = s.at.now;
+        s.state.feeds.push_back(std::move(feed));
+    }
 }
 
 void followFeeds(step &s)
@@ -203,22 +277,21 @@
 {
     table_feed &feed = feedOf(s.state, table);
     feed.running = {};
-    if (s.at.now - feed.answeredAt > kSteadyGap) {
-        feed.steadySince = s.at.now;
-    }
-    feed.answeredAt = s.at.now;
+    noteAnswer(s, feed);
     if (table == table_id::heads) {
         s.state.headsChanged = !what.rows.empty();
     }
     const bool whole = readingWhole(feed);
+    if (!whole) {
+        feed.version = std::max(feed.version, what.version);
+    }
     for (const row_change &change : what.rows) {
         applyRow(s, table, change);
         if (whole) {
-            feed.seen.insert({table, "", change.what.key.key});
+            feed.seen.insert(change.what.key.key);
         }
     }
     if (!whole) {
-        feed.version = std::max(feed.version, what.version);
         feed.nextAt = s.at.now + (what.more ? milliseconds{0} : feed.pace);
         return;
     }
@@ -236,11 +309,17 @@
         return;
     }
     dropUnseen(s, feed);
-    feed.version = feed.wholeReadVersion;
+    noteRead(s, feed, feed.wholeReadVersion);
+}
+
+void noteRead(step &s, table_feed &feed, std::uint64_t version)
+{
+    noteAnswer(s, feed);
+    feed.version = std::max(feed.version, version);
     feed.nextAt = s.at.now + feed.pace;
     if (!feed.synced) {
         feed.synced = true;
-        s.log("table-read", nameOf(table), "version " + std::to_string(feed.version));
+        s.log("table-read", nameOf(feed.table), "version " + std::to_string(feed.version));
     }
 }
 
--- a/src/node_members.cpp
+++ b/src/node_members.cpp
@@ -8,16 +8,18 @@
 
 namespace {
 
-/// Shortest time between two beats of a daemon, and the time for each daemon of the fleet: 75 daemons make
-/// 167 writes a second, a ninth of what the platform takes from a fleet of that size.
+/// Shortest time between two beats of a daemon, the time for each daemon of the fleet, and the share of the
+/// store's writes that beats may use. Each daemon reads the beats of all: 6 ms for each keep that at 167 rows
+/// a second, a thousandth of a core.
 constexpr milliseconds kLeastBeatPeriod{400};
-constexpr milliseconds kBeatPerDaemon{6};
+constexpr double kBeatMsPerDaemon = 6;
+constexpr double kBeatShare = 0.2;
 
-/// A daemon is taken for dead when its row has not changed for this many beats, the pause between two reads,
-/// and twice the time that this daemon's own last beat took. A wrong guess costs runs done twice, never a
-/// wrong listing.
+/// A daemon is taken for dead when its row has not changed for this many beats, the pause between two reads
+/// with the time of one, and twice the time that this daemon's own last beat took. A wrong guess costs runs
+/// done twice, never a wrong listing.
 constexpr int kBeatsMissed = 3;
-constexpr milliseconds kReadPause{400};
+constexpr milliseconds kReadMargin{50};
 
 /// Without an answer of the store for this long, by any way, callers are better off at another daemon. Well
 /// above one slow answer, below the time after which a healed host must work again (3 s).
@@ -61,12 +63,17 @@
 
 milliseconds beatPeriod(const node_state &state)
 {
-    return std::max(kLeastBeatPeriod, kBeatPerDaemon * static_cast<int>(state.members.size()));
+    constexpr double kSecondMs = 1000;
+    const double each
+            = std::max(kBeatMsPerDaemon, kSecondMs / (kBeatShare * state.self.storeWritesPerSecond));
+    const milliseconds all{static_cast<std::int64_t>(each * static_cast<double>(state.members.size()))};
+    return std::max(kLeastBeatPeriod, all);
 }
 
 milliseconds deadAfter(const node_state &state)
 {
-    return beatPeriod(state) * kBeatsMissed + kReadPause + 2 * state.beatTook;
+    return beatPeriod(state) * kBeatsMissed + readPace(state, table_id::daemons) + kReadMargin
+           + 2 * state.beatTook;
 }
 
 } // namespace
@@ -97,7 +104,7 @@
                       {},
                       0};
     s.emit(commit_rows{s.open(for_beat{}),
-                       "",
+                       memberPart(state.self.host),
                        {{table_id::daemons, state.self.host.value, state.ownRowVersion}},
                        {{table_id::daemons, state.self.host.value, encodeMember(self)}},
                        milliseconds{3000}});
@@ -108,7 +115,7 @@
     s.state.beatRunning = false;
     s.state.ownRowVersion = what.version;
     s.state.beatTook = s.at.now - s.state.beatSentAt;
-    if (s.at.now - s.state.beatenAt > kSteadyGap + beatPeriod(s.state)) {
+    if (s.at.now - s.state.beatenAt > steadyGap({}) + beatPeriod(s.state)) {
         s.state.beatsSteadySince = s.at.now;
     }
     s.state.beatenAt = s.at.now;
@@ -166,7 +173,8 @@
     // of that.
     const table_feed &feed = *std::ranges::find(state.feeds, table_id::daemons, &table_feed::table);
     // The same holds while this daemon's own beats do not get through: reads may be served and writes not.
-    if (now - feed.answeredAt > kSteadyGap || now - state.beatenAt > kSteadyGap + beatPeriod(state)) {
+    if (now - feed.answeredAt > steadyGap(feed.pace)
+        || now - state.beatenAt > steadyGap({}) + beatPeriod(state)) {
         return true;
     }
     return now - std::max({found->second.changedAt, feed.steadySince, state.beatsSteadySince})
@@ -228,7 +236,12 @@
         state.relays = relays;
         s.emit(set_relays{std::move(relays)});
     }
-    const bool synced = std::ranges::all_of(state.feeds, &table_feed::synced);
+    // Heads that are not known yet are read when they are asked for. A large fleet that starts at once would
+    // wait for seconds until the store has told them to all.
+    const bool large = state.members.size() >= state.self.sharedReadingFrom;
+    const bool synced = std::ranges::all_of(state.feeds, [&](const table_feed &feed) {
+        return feed.synced || (large && feed.table == table_id::heads);
+    });
     const bool ready
             = state.configKnown && synced && !state.stopping && s.at.now - state.storeSeenAt < kStoreSilence;
     if (ready != state.ready) {
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -269,6 +269,10 @@
                                }
                            });
                        },
+                       [&](const news_asked &now) { onNewsAsked(s, now); },
+                       [&](const news_arrived &now) {
+                           close(now.op, [&](const purpose &) { onNewsArrived(s, now); });
+                       },
                        [&](const stop_requested &) { onStop(s); }},
                what);
     return std::move(s.out);
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "node_runtime.h"
 
 #include "log.h"
+#include "node_pack.h"
 #include "node_step.h"
 
 #include <absl/strings/str_cat.h>
@@ -31,6 +32,24 @@
 /// Deadline of reads: what callers wait for at most.
 constexpr milliseconds kReadDeadline{3000};
 
+/// Path at a peer's address that tells news of the upstreams, and the longest times for its answer: another
+/// daemon is asked well within the bound for a leaving upstream (2 s).
+constexpr const char *kNewsPath = "/node/news";
+constexpr milliseconds kNewsConnectTime{300};
+constexpr milliseconds kNewsTime{500};
+
+call_http newsCall(const ask_news &what)
+{
+    call_http call;
+    call.target = what.peer;
+    call.method = "POST";
+    call.path = kNewsPath;
+    call.body = pack(what.after);
+    call.connectTimeout = kNewsConnectTime;
+    call.progressTimeout = kNewsTime;
+    return call;
+}
+
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -72,6 +91,21 @@
                            return runtime->m_port->decodeOrder(op, f);
                        });
     }
+    void operator()(const ask_news &what) const
+    {
+        const op_id op = what.op;
+        self.startCall(op, newsCall(what), [op](const http_call_finished &f) {
+            upstream_news news;
+            // Without a whole answer nothing is known: the reducer asks elsewhere.
+            const bool whole
+                    = f.outcome == transfer_outcome::complete && f.status == kOk && unpack(f.body, news);
+            return news_arrived{op, whole ? std::move(news) : upstream_news{}};
+        });
+    }
+    void operator()(const answer_news &what) const
+    {
+        self.m_peerServer->reply({what.exchange, kOk, {}, pack(what.news)});
+    }
     void operator()(const answer_call &what) const { self.reply(self.m_port->encodeReply(what)); }
     void operator()(const refuse_call &what) const { self.reply(self.m_port->encodeReply(what)); }
     void operator()(const accept_batch &what) const { self.reply(self.m_port->encodeReply(what)); }
@@ -243,6 +277,14 @@
 void node_runtime::onPeer(const http_request_received &request)
 {
     const exchange_id exchange = request.exchange;
+    if (request.path == kNewsPath) {
+        std::uint64_t after = 0;
+        if (!unpack(request.body, after)) {
+            writeLog({"news-question-unreadable", request.path, "of another version"});
+        }
+        post(news_asked{exchange, after});
+        return;
+    }
     if (request.path != kRelayPath) {
         m_peerServer->reply({exchange, kNotFound, {}, {}});
         return;
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -11,6 +11,13 @@
 constexpr double kLeastProcessorShare = 0.001;
 constexpr double kMostProcessorShare = 1024;
 constexpr double kDefaultProcessorShare = 1;
+constexpr std::int64_t kMostDaemons = 1'000'000;
+/// The largest fleet whose daemons were measured to read for themselves has 75.
+constexpr std::int64_t kDefaultSharedReading = 100;
+/// Calls a second that a store serves; without a setting those of the smallest store known.
+constexpr double kMostCallsPerSecond = 1e6;
+constexpr double kDefaultReadsPerSecond = 2000;
+constexpr double kDefaultWritesPerSecond = 800;
 constexpr double kMillisecondsPerSecond = 1000;
 constexpr std::int64_t kMaxBytes = 256LL * 1024 * 1024;
 constexpr std::int64_t kDefaultHeaderBytes = 64LL * 1024;
@@ -36,6 +43,12 @@
             = milliseconds{static_cast<std::int64_t>(graceSeconds * kMillisecondsPerSecond)};
     settings.identity.processorShare = checker.number("processorShare", kLeastProcessorShare,
                                                       kMostProcessorShare, kDefaultProcessorShare);
+    settings.identity.storeReadsPerSecond
+            = checker.number("storeReadsPerSecond", 1, kMostCallsPerSecond, kDefaultReadsPerSecond);
+    settings.identity.storeWritesPerSecond
+            = checker.number("storeWritesPerSecond", 1, kMostCallsPerSecond, kDefaultWritesPerSecond);
+    settings.identity.sharedReadingFrom = static_cast<std::size_t>(
+            checker.integer("sharedReadingFrom", 1, kMostDaemons, kDefaultSharedReading));
     settings.entry = checker.listenAddress("entryAddress");
     settings.readiness = checker.listenAddress("readinessAddress");
     settings.platform = checker.address("platformAddress");
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -3,10 +3,16 @@
 
 #include <jacinthvale/node.h>
 
+#include <algorithm>
+
 namespace jacinthvale::node {
 
-/// Answers further apart than this do not count as steady: what others wrote meanwhile was not seen.
-inline constexpr milliseconds kSteadyGap{1500};
+/// Answers further apart than this do not count as steady: what others wrote meanwhile was not seen. Shorter
+/// than the time after which a daemon is taken for dead, whatever the pace of reading.
+constexpr milliseconds steadyGap(milliseconds pace)
+{
+    return std::max(milliseconds{1500}, pace * 3 / 2);
+}
 
 /// One call of reduce().
 struct step
@@ -54,6 +60,20 @@
 void onFeedGone(step &s, table_id table);
 void onFeedFailed(step &s, table_id table, const store_failed &what);
 table_feed &feedOf(node_state &state, table_id table);
+// The table of upstreams read together (node_news.cpp).
+/// Upstreams that went and are remembered; who asks after an older version is told all.
+inline constexpr std::size_t kMostGoneUpstreams = 2000;
+/// Daemon to ask for the upstreams instead of the store; none where this one is to read itself.
+std::optional<endpoint> newsSource(const step &s, const table_feed &feed);
+void onNewsAsked(step &s, const news_asked &what);
+void onNewsArrived(step &s, const news_arrived &what);
+void onUpstreamRow(step &s, const row_change &change);
+/// Drops the upstreams that are not among these.
+void keepUpstreams(step &s, const std::set<std::string> &ids);
+/// Notes that a table was read up to a version.
+void noteRead(step &s, table_feed &feed, std::uint64_t version);
+/// Pause between two reads of a table, by the size of the fleet.
+milliseconds readPace(const node_state &state, table_id table);
 
 // Daemons (node_members.cpp).
 void beat(step &s);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -90,6 +90,7 @@
         return;
     }
     owned_batch batch;
+    batch.ownedAt = s.at.now;
     batch.what = loading.head.what;
     batch.epoch = loading.head.epoch;
     batch.headVersion = loading.head.rowVersion;
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -94,6 +94,18 @@
                        kRenewDeadline});
 }
 
+/// Ends the questions and orders that run; what they asked for may still be done.
+void dropOrders(step &s)
+{
+    for (const auto &[id, order] : s.state.conductor.orders) {
+        if (order.op.value != 0) {
+            s.emit(cancel_call{order.op});
+            s.state.ops.erase(order.op);
+        }
+    }
+    s.state.conductor.orders.clear();
+}
+
 void loseLease(step &s, const std::string &why)
 {
     weights_conductor &lease = s.state.conductor;
@@ -101,13 +113,7 @@
         s.log("lease-lost", kWeightsLeaseKey, why);
     }
     lease.held = false;
-    for (const auto &[id, order] : lease.orders) {
-        if (order.op.value != 0) {
-            s.emit(cancel_call{order.op});
-            s.state.ops.erase(order.op);
-        }
-    }
-    lease.orders.clear();
+    dropOrders(s);
     lease.leftAlone.clear();
 }
 
@@ -256,13 +262,7 @@
     }
     if (s.state.stopping) {
         if (lease.held && lease.op.value == 0) {
-            for (const auto &[id, order] : lease.orders) {
-                if (order.op.value != 0) {
-                    s.emit(cancel_call{order.op});
-                    s.state.ops.erase(order.op);
-                }
-            }
-            lease.orders.clear();
+            dropOrders(s);
             writeLease(s, true);
         }
         return;
--- a/tests/standins/node_world.cpp
+++ b/tests/standins/node_world.cpp
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kStoreTime{6};
 constexpr milliseconds kRetryTime{60};
+constexpr milliseconds kPeerTime{2};
 
 const service_id kEngines{"engines"};
 const service_id kPlain{"plain"};
@@ -51,8 +52,9 @@
 
 } // namespace
 
-node_world::node_world(std::uint64_t seed, std::size_t daemons, std::size_t upstreams)
+node_world::node_world(std::uint64_t seed, std::size_t daemons, std::size_t upstreams, double storeReads)
     : m_random(seed)
+    , m_storeReads(storeReads)
 {
     putConfig(makeConfig());
     nameVersion("m0", 1);
@@ -115,6 +117,8 @@
     identity.peer = {"10.1.0." + std::to_string(daemon + 1), 90};
     identity.leaseTime = kWorldLease;
     identity.stopGrace = milliseconds{8000};
+    identity.storeReadsPerSecond = m_storeReads;
+    identity.sharedReadingFrom = kWorldSharedReading;
     self.state = std::make_unique<node_state>(makeNodeState(identity));
     self.up = true;
     const std::uint64_t life = ++self.life;
@@ -187,7 +191,17 @@
 {
     const auto answered = [&](const auto &answer) { m_answers[answer.exchange] = answer; };
     std::visit(visitor{[&](const read_rows &e) { readRows(daemon, e); },
-                       [&](const read_changes &e) { readChanges(daemon, e, m_now); },
+                       [&](const ask_news &e) { askNews(daemon, e); },
+                       [&](const answer_news &e) {
+                           if (const auto asked = m_news.extract(e.exchange); !asked.empty()) {
+                               later(asked.mapped().first, kPeerTime,
+                                     news_arrived{asked.mapped().second, e.news});
+                           }
+                       },
+                       [&](const read_changes &e) {
+                           ++m_reads;
+                           readChanges(daemon, e, m_now);
+                       },
                        [&](const commit_rows &e) { commit(daemon, e, m_now + e.deadline, false); },
                        [&](const run_item &e) { startRun(daemon, e); },
                        [&](const forward_call &e) { forward(daemon, e); },
@@ -230,8 +244,22 @@
     return result;
 }
 
+void node_world::askNews(std::size_t daemon, const ask_news &what)
+{
+    const auto asked = std::ranges::find_if(
+            m_daemons, [&](const process &each) { return each.up && each.state->self.peer == what.peer; });
+    if (asked == m_daemons.end() || asked->frozenUntil > m_now) {
+        later(daemon, kRetryTime, news_arrived{what.op, {}});
+        return;
+    }
+    const exchange_id exchange{++m_lastExchange};
+    m_news[exchange] = {daemon, what.op};
+    later(static_cast<std::size_t>(asked - m_daemons.begin()), kPeerTime, news_asked{exchange, what.after});
+}
+
 void node_world::readRows(std::size_t daemon, const read_rows &what)
 {
+    ++m_reads;
     const std::uint64_t life = m_daemons.at(daemon).life;
     at(m_now + kStoreTime, [this, daemon, life, what] {
         if (!storeAnswers(daemon)) {
@@ -267,9 +295,11 @@
             return;
         }
         std::set<row_key> changed;
-        for (const auto &[version, key] : m_changes) {
-            if (version > what.after && key.table == what.table) {
-                changed.insert(key);
+        for (auto next
+             = std::ranges::upper_bound(m_changes, what.after, {}, &std::pair<std::uint64_t, row_key>::first);
+             next != m_changes.end(); ++next) {
+            if (next->second.table == what.table) {
+                changed.insert(next->second);
             }
         }
         if (changed.empty() && m_now < asked + what.wait && m_daemons.at(daemon).life == life) {
--- a/tests/standins/node_world.h
+++ b/tests/standins/node_world.h
@@ -37,13 +37,18 @@
 /// Lease time that all daemons of the world are told.
 inline constexpr milliseconds kWorldLease{3000};
 
+/// Fleets of this size read the table of upstreams together.
+inline constexpr std::size_t kWorldSharedReading = 20;
+
 /// Data of an item's piece; the world checks texts against it.
 std::string worldPiece(const node::item_id &id, std::uint64_t number);
 
 class node_world
 {
 public:
-    explicit node_world(std::uint64_t seed, std::size_t daemons = 3, std::size_t upstreams = 4);
+    /// @param storeReads reads a second that all daemons are told they may make together.
+    explicit node_world(std::uint64_t seed, std::size_t daemons = 3, std::size_t upstreams = 4,
+                        double storeReads = 2000);
 
     /// Lets this much time pass.
     void run(milliseconds time);
@@ -84,6 +89,8 @@
         m_historyFrom = m_version;
     }
     void crashUpstream(std::size_t upstream);
+    /// An upstream without memory puts its newest run back. @returns false where it has none.
+    bool stallNewestRun(std::size_t upstream, milliseconds time);
     void restoreUpstream(std::size_t upstream);
     /// Share of calls and runs that break off.
     void setBreakShare(double share) { m_breakShare = share; }
@@ -105,6 +112,8 @@
     /// Whole listed results of a batch as the table holds them.
     std::vector<node::item_result> listed(const node::batch_id &id) const;
     bool allListed(const node::batch &what) const { return listed(what.id).size() >= what.items.size(); }
+    /// Reads of rows and of changes that daemons made.
+    std::size_t reads() const { return m_reads; }
     std::size_t runsStarted() const { return m_runsStarted; }
     std::size_t claims() const { return m_claims; }
     std::size_t ordersSent() const { return m_ordersSent; }
@@ -133,6 +142,7 @@
     void tell(std::size_t daemon, std::uint64_t life, node::event what);
     void later(std::size_t daemon, milliseconds after, node::event what);
     void perform(std::size_t daemon, node::effect &what);
+    void askNews(std::size_t daemon, const node::ask_news &what);
     void readRows(std::size_t daemon, const node::read_rows &what);
     void readChanges(std::size_t daemon, const node::read_changes &what, instant asked);
     void commit(std::size_t daemon, const node::commit_rows &what, instant until, bool lostBefore);
@@ -157,6 +167,7 @@
     {
         node::run_item what;
         std::uint64_t made = 0;
+        instant stalledUntil{};
     };
 
     std::mt19937_64 m_random;
@@ -178,6 +189,10 @@
     std::map<std::pair<std::size_t, node::op_id>, running_run> m_runs;
     std::map<exchange_id, world_answer> m_answers;
     std::uint64_t m_lastExchange = 0;
+    /// Who asked another daemon for news, by the exchange there.
+    std::map<exchange_id, std::pair<std::size_t, node::op_id>> m_news;
+    double m_storeReads = 0;
+    std::size_t m_reads = 0;
     std::size_t m_runsStarted = 0;
     std::size_t m_claims = 0;
     std::size_t m_ordersSent = 0;
