--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -161,6 +161,37 @@
     EXPECT_EQ(world.faultText(), "");
 }
 
+TEST(node_placement, aDrainingUpstreamGetsNothingNew)
+{
+    // Pattern: scale-in in the middle of a step, while calls come all the time. Upstreams 4 and 5 take the
+    // calls.
+    node_world world(6, 3, 4);
+    world.run(kStart);
+    world.handIn(0, node_world::makeBatch("b1", "m0", 1, std::vector<unsigned>(40, 30)));
+    world.run(milliseconds{500});
+    world.upstream(1).entry.draining = true;
+    world.upstream(5).entry.draining = true;
+    // The bound for a leaving upstream.
+    world.run(milliseconds{2000});
+    const auto runsAt = [&](std::size_t index) {
+        const auto found = world.runsAt().find(world.upstream(index).entry.id);
+        return found == world.runsAt().end() ? 0 : found->second;
+    };
+    const std::size_t runs = runsAt(1);
+    const std::size_t calls = runsAt(5);
+    const batch later = node_world::makeBatch("b2", "m1", 1, std::vector<unsigned>(40, 10));
+    world.handIn(1, later);
+    for (int i = 0; i < 20; ++i) {
+        world.call(static_cast<std::size_t>(i % 3), "c" + std::to_string(i));
+        world.run(milliseconds{50});
+    }
+    ASSERT_TRUE(world.runUntil([&] { return world.allListed(later); }, milliseconds{20'000}));
+    EXPECT_EQ(runsAt(1), runs);
+    EXPECT_EQ(runsAt(5), calls);
+    EXPECT_GT(runsAt(4), 0U);
+    EXPECT_EQ(world.faultText(), "");
+}
+
 TEST(node_placement, aRunBeyondItsGuessIsBookedForWhatItMade)
 {
     node_state state;
