A claim ends when it is committed: a batch that comes back to a former owner goes on

Its head named a living owner that did not run it. That daemon had claimed the batch once, and the state taken over with the claim's own copy of the head still said that a claim was under way; it lost the batch while it was slow, and when it was handed over to it again it passed it by, while the others saw a living owner. Ruled out: the feed of heads (the row had come) and the daemon's life. Change: the claim's copy says that it is over.

--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -179,6 +179,8 @@
 {
     batch_head head = what.wanted;
     head.rowVersion = committed.version;
+    // The claim is over: should the batch be lost and come back, it must be taken again.
+    head.claiming = false;
     batch_head &known = s.state.heads[what.batch];
     if (known.rowVersion > head.rowVersion) {
         return;
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -164,6 +164,38 @@
     EXPECT_EQ(world.faultText(), "");
 }
 
+TEST(node_batches, aBatchThatComesBackToAFormerOwnerGoesOn)
+{
+    // Found by the soak (seed 1032): claimed, lost while frozen, then handed over to the same daemon again.
+    node_world world(12, 3);
+    world.run(kStart);
+    const batch what = node_world::makeBatch("b1", "m0", 1, pieces(4, 300));
+    world.handIn(0, what);
+    world.run(milliseconds{1000});
+    const auto ownedBy = [&](std::size_t daemon) {
+        return world.isUp(daemon) && world.state(daemon).owned.contains(what.id);
+    };
+    const auto ownerOtherThan = [&](std::size_t before) {
+        for (std::size_t i = 0; i < world.daemons(); ++i) {
+            if (i != before && ownedBy(i)) {
+                return i;
+            }
+        }
+        return before;
+    };
+    const std::size_t first = world.ownerIndex(what.id);
+    world.kill(first);
+    ASSERT_TRUE(world.runUntil([&] { return ownerOtherThan(first) != first; }, kLong));
+    const std::size_t second = ownerOtherThan(first);
+    world.freeze(second, milliseconds{5000});
+    ASSERT_TRUE(world.runUntil([&] { return ownerOtherThan(second) != second; }, kLong));
+    const std::size_t third = ownerOtherThan(second);
+    ASSERT_TRUE(world.runUntil([&] { return !ownedBy(second); }, kLong));
+    world.stop(third);
+    ASSERT_TRUE(world.runUntil([&] { return world.allListed(what); }, milliseconds{40'000}));
+    EXPECT_EQ(world.faultText(), "");
+}
+
 TEST(node_batches, nobodyIsTakenForDeadWhileTheStoreIsAway)
 {
     node_world world(8, 5);
