--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -79,7 +79,17 @@
     bool claiming = false;
 };
 
-enum class item_phase : std::uint8_t { waiting, running, finished, committed };
+enum class item_phase : std::uint8_t {
+    waiting,
+    running,
+    /// The text is complete; the reward call has not started, or is about to be repeated.
+    unscored,
+    /// The reward call is in progress.
+    scoring,
+    /// The outcome is known but not committed.
+    finished,
+    committed,
+};
 
 /// An item in the memory of the batch's owner.
 struct owned_item
@@ -104,6 +114,24 @@
     double reservedTokens = 0;
     /// The item belongs to a group that the trainer does not wait for.
     bool isSurplus = false;
+    /// Score of `text`; empty until the reward call succeeded.
+    std::string score;
+    /// Reward calls that the upstreams ran and answered with an error, since the first owner.
+    unsigned rewardFailures = 0;
+    instant nextRewardAt{};
+};
+
+/// Output of an item whose batch ended first; the trainer may submit the item again in a later batch.
+struct retained_output
+{
+    std::string text;
+    std::uint64_t chunkCount = 0;
+    std::set<std::uint64_t> versions;
+    bool complete = false;
+    /// Score of the text and the reward call that returned it.
+    std::string score;
+    request_id rewardId;
+    instant retainedAt{};
 };
 
 struct waiting_reader
@@ -146,6 +174,7 @@
 struct loading_batch
 {
     batch_head head;
+    std::string extensionBytes;
     std::string itemBytes;
     std::string progressBytes;
     std::vector<item_result> results;
@@ -179,8 +208,8 @@
     upstream_entry lastRow;
     /// Version of the table at which `lastRow` last differed from the row before it.
     std::uint64_t lastChangeVersion = 0;
-    /// Smoothed duration of a forwarded call; 0 if unknown.
-    double callMs = 0;
+    /// Smoothed duration of forwarded calls relative to the mean of their routes; 0 if unknown.
+    double relativeCallDuration = 0;
     std::uint64_t rowVersion = 0;
 };
 
@@ -231,6 +260,18 @@
     instant startedAt{};
 };
 
+/// An item of an owned batch that waits for the answer to its reward call.
+struct reward_origin
+{
+    batch_id batch;
+    std::size_t item = 0;
+
+    auto operator<=>(const reward_origin &) const = default;
+};
+
+/// Who waits for the answer to a forwarded call.
+using call_origin = std::variant<exchange_id, reward_origin>;
+
 struct call_state
 {
     client_call call;
@@ -242,6 +283,10 @@
     /// Attempts that count against the route's limit, because they may have run.
     unsigned sent = 0;
     bool mayHaveRun = false;
+    /// The call may run more than once.
+    bool repeatable = false;
+    /// Answers that report a failed run; for a reward call, including earlier rounds.
+    unsigned failures = 0;
     instant nextTryAt{};
 };
 
@@ -370,7 +415,7 @@
 };
 struct call_operation
 {
-    exchange_id exchange;
+    call_origin origin;
     upstream_id upstream;
 };
 struct lease_operation
@@ -412,7 +457,10 @@
     std::map<batch_id, pending_batch> pending;
     std::map<batch_id, loading_batch> loading;
     std::map<exchange_id, page_read> pages;
-    std::map<exchange_id, call_state> calls;
+    std::map<call_origin, call_state> calls;
+    /// Smoothed duration in ms of the forwarded calls of each route.
+    std::map<std::string, double> callDurations;
+    std::map<item_id, retained_output> retainedOutputs;
     weights_leader weightsLeader;
 
     std::uint64_t ownRowVersion = 0;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -163,7 +163,7 @@
     call_end end = call_end::complete;
 };
 
-/// End of a forwarded call or of an order. Headers and body are set only for forwarded calls.
+/// End of a forwarded call or of an order. Headers, body and seal are set only for forwarded calls.
 struct call_ended
 {
     op_id op;
@@ -171,6 +171,8 @@
     int status = 0;
     http_headers headers;
     std::string body;
+    /// Integrity seal that the upstream computed over its answer.
+    std::string seal = {};
 };
 
 /// Status of an upstream, as requested by request_upstream_status.
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -128,6 +128,23 @@
     }
 };
 
+/// Call that scores the complete text of an item. It may be repeated.
+struct reward_call
+{
+    request_id id;
+    std::string host;
+    std::string path;
+    std::string body;
+
+    auto operator<=>(const reward_call &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id.value, host, path, body);
+    }
+};
+
 /// One generation of a batch. Headers and body are forwarded unchanged.
 struct batch_item
 {
@@ -140,9 +157,15 @@
     unsigned tokens = 0;
     /// Output tokens that the client expects; 0 if it gave no estimate.
     unsigned expectedOutput = 0;
+    /// Tokens of the prompt; 0 if unknown.
+    unsigned promptTokens = 0;
+    /// The item succeeds only with the score that this call returns.
+    std::optional<reward_call> reward;
 
     auto operator<=>(const batch_item &) const = default;
 
+    /// Prompt tokens and reward call are stored in rows of their own, which older builds do not read.
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
@@ -175,9 +198,13 @@
     /// Data of all chunks, separated by line feeds.
     std::string text;
     std::vector<std::uint64_t> versions;
+    /// Seal of the successful answer to the item's reward call; empty for items without one.
+    std::string score;
 
     auto operator<=>(const item_result &) const = default;
 
+    /// The score is appended by encodeResult(), so that results without one keep their format.
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -81,10 +81,10 @@
 item_result resultOf(const owned_item &item)
 {
     if (item.outcome != item_state::succeeded) {
-        return {item.item.id, item.outcome, {}, {}};
+        return {item.item.id, item.outcome, {}, {}, {}};
     }
     return {item.item.id, item.outcome, item.text,
-            std::vector<std::uint64_t>(item.versions.begin(), item.versions.end())};
+            std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()), item.score};
 }
 
 } // namespace
@@ -94,8 +94,11 @@
     const batch_id id = batch.spec.id;
     batch.ownedAt = s.ctx.now;
     markSurplus(batch);
-    s.state.owned.insert_or_assign(id, std::move(batch));
+    reuseOutputs(s, batch);
+    owned_batch &adopted = s.state.owned.insert_or_assign(id, std::move(batch)).first->second;
+    startRewards(s);
     startRuns(s);
+    commitFinished(s, adopted);
 }
 
 void requestHeadRow(step &s, op_id op, const batch_id &id)
@@ -144,6 +147,10 @@
     for (std::size_t i = 0; i < fragments.size(); ++i) {
         commit.puts.push_back({table_id::items, itemsKey(id, i), fragments[i]});
     }
+    const std::vector<std::string> extensions = splitIntoFragments(encodeExtensions(received.spec.items));
+    for (std::size_t i = 0; i < extensions.size(); ++i) {
+        commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
+    }
     state.pending[id] = {received.spec, {received.exchange}, headValue};
     s.emit(std::move(commit));
 }
@@ -278,9 +285,11 @@
     logSlowest(s, batch);
     const auto uncommitted = std::ranges::count_if(
             batch.items, [](const owned_item &item) { return item.phase != item_phase::committed; });
-    for (owned_item &item : batch.items) {
-        stopRun(s, item);
+    for (std::size_t index = 0; index < batch.items.size(); ++index) {
+        stopRun(s, batch.items[index]);
+        stopReward(s, id, index, batch.items[index]);
     }
+    retainOutputs(s, batch);
     // From now on, the waiting readers are served from the store.
     const std::vector<waiting_reader> readers = std::move(batch.readers);
     s.state.owned.erase(found);
@@ -443,8 +452,9 @@
         }
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             owned_item &item = batch.items[i];
-            if (item.phase == item_phase::waiting || item.phase == item_phase::running) {
+            if (item.phase != item_phase::finished && item.phase != item_phase::committed) {
                 stopRun(s, item);
+                stopReward(s, id, i, item);
                 finishItem(s, batch, i, item_state::lost);
                 s.log("item-expired", item.item.id.value, "retention time passed, batch " + id.value);
             }
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -31,8 +31,14 @@
 /// Upper bound of the timeout of a call; applies alone where neither the route nor the caller sets a timeout.
 constexpr milliseconds kMaxCallTimeout{60'000};
 
-/// Weight of a new sample in the smoothed call duration of an upstream.
+constexpr int kServerError = 500;
+
+/// Weights of a new sample in the smoothed call durations of an upstream and of a route.
 constexpr double kCallDurationWeight = 0.2;
+constexpr double kRouteDurationWeight = 0.05;
+
+/// Time until a hedge is tried again if no other upstream was available.
+constexpr milliseconds kHedgeRetryInterval{100};
 
 void countCallOutcome(step &s, const std::string &outcome)
 {
@@ -48,6 +54,47 @@
     }
 }
 
+/// @returns the route's smoothed call duration; its latency objective until one is measured.
+double expectedCallDuration(const node_state &state, const route &matchedRoute)
+{
+    const auto found = state.callDurations.find(matchedRoute.name);
+    return found == state.callDurations.end() ? static_cast<double>(matchedRoute.objective.count())
+                                              : found->second;
+}
+
+/// Updates the speed of an upstream. Durations are compared within a route, because the work of a call
+/// differs by route.
+void recordRelativeDuration(step &s, const upstream_id &id, const route &matchedRoute, double durationMs)
+{
+    const auto view = s.state.upstreams.find(id);
+    if (view == s.state.upstreams.end()) {
+        return;
+    }
+    const double sample = durationMs / std::max(1.0, expectedCallDuration(s.state, matchedRoute));
+    double &smoothed = view->second.relativeCallDuration;
+    smoothed = smoothed > 0 ? smoothed + kCallDurationWeight * (sample - smoothed) : sample;
+}
+
+void recordCallDuration(step &s, const upstream_id &id, const route &matchedRoute, double durationMs)
+{
+    recordRelativeDuration(s, id, matchedRoute, durationMs);
+    const auto [found, first] = s.state.callDurations.try_emplace(matchedRoute.name, durationMs);
+    if (!first) {
+        found->second += kRouteDurationWeight * (durationMs - found->second);
+    }
+}
+
+/// Records that attempts which lost against a faster one took at least as long as they have been running.
+void recordSlowAttempts(step &s, const call_state &call)
+{
+    for (const call_attempt &attempt : call.running) {
+        const auto elapsed = static_cast<double>((s.ctx.now - attempt.startedAt).count());
+        if (elapsed > expectedCallDuration(s.state, call.matchedRoute)) {
+            recordRelativeDuration(s, attempt.upstream, call.matchedRoute, elapsed);
+        }
+    }
+}
+
 void cancelAttempts(step &s, call_state &call)
 {
     for (const call_attempt &attempt : call.running) {
@@ -58,28 +105,53 @@
     call.running.clear();
 }
 
-void refuseCall(step &s, exchange_id exchange, refusal kind, const std::string &reason)
+/// Ends a call without an answer of an upstream.
+void refuseCall(step &s, const call_origin &origin, refusal kind, const std::string &reason)
+{
+    auto ended = s.state.calls.extract(origin);
+    call_state &call = ended.mapped();
+    cancelAttempts(s, call);
+    std::visit(overloaded{[&](exchange_id exchange) {
+                              s.log("call-refused", call.call.id.value, reason);
+                              countCallOutcome(s, "refused");
+                              s.emit(refuse_call{exchange, kind,
+                                                 kind == refusal::not_run ? kRetryAfter : milliseconds{0}});
+                          },
+                          [&](const reward_origin &reward) { onRewardUnanswered(s, reward, call, reason); }},
+               origin);
+}
+
+/// Ends a call with the answer of an upstream.
+void answerCall(step &s, const call_origin &origin, const call_ended &ended)
 {
-    const auto found = s.state.calls.find(exchange);
-    cancelAttempts(s, found->second);
-    s.log("call-refused", found->second.call.id.value, reason);
-    countCallOutcome(s, "refused");
-    s.emit(refuse_call{exchange, kind, kind == refusal::not_run ? kRetryAfter : milliseconds{0}});
-    s.state.calls.erase(found);
+    auto finished = s.state.calls.extract(origin);
+    call_state &call = finished.mapped();
+    recordSlowAttempts(s, call);
+    cancelAttempts(s, call);
+    const auto durationMs = static_cast<double>((s.ctx.now - call.arrivedAt).count());
+    std::visit(overloaded{[&](exchange_id exchange) {
+                              s.emit(observe{"call_ms", durationMs});
+                              countCallOutcome(s, "answered");
+                              s.emit(answer_call{exchange, ended.status, ended.headers, ended.body});
+                          },
+                          [&](const reward_origin &reward) { onRewardAnswered(s, reward, call, ended); }},
+               origin);
 }
 
-bool startAttempt(step &s, call_state &call)
+bool startAttempt(step &s, const call_origin &origin, call_state &call)
 {
     if (call.sent >= call.matchedRoute.maxAttempts) {
         return false;
     }
     const service_id service = pickService(call.matchedRoute, stableHash(call.call.id.value));
-    const auto target = placeCall(s.state, service, call.tried, s.ctx.now);
+    const auto priority = std::holds_alternative<reward_origin>(origin) ? call_priority::background
+                                                                        : call_priority::interactive;
+    const auto target = placeCall(s.state, service, call.tried, priority, s.ctx.now);
     if (!target) {
         return false;
     }
     upstream_view &view = s.state.upstreams.at(*target);
-    const op_id op = s.open(call_operation{call.call.exchange, *target});
+    const op_id op = s.open(call_operation{origin, *target});
     ++view.running;
     ++call.sent;
     call.tried.insert(*target);
@@ -93,20 +165,62 @@
 }
 
 /// Called when no attempt is running: starts an attempt at another upstream, or sends the final response.
-void retryOrRefuse(step &s, exchange_id exchange)
+void retryOrRefuse(step &s, const call_origin &origin)
 {
-    call_state &call = s.state.calls.at(exchange);
-    const bool mayRepeat = call.matchedRoute.kind == route_kind::repeatable || !call.mayHaveRun;
-    if (mayRepeat && s.ctx.now < call.deadline && startAttempt(s, call)) {
+    call_state &call = s.state.calls.at(origin);
+    const bool mayRepeat = call.repeatable || !call.mayHaveRun;
+    if (mayRepeat && s.ctx.now < call.deadline && startAttempt(s, origin, call)) {
         return;
     }
-    refuseCall(s, exchange, call.mayHaveRun ? refusal::may_have_run : refusal::not_run,
+    refuseCall(s, origin, call.mayHaveRun ? refusal::may_have_run : refusal::not_run,
                call.sent == 0 ? "no upstream available"
                               : "route allows no further attempt, or no other upstream available");
 }
 
+/// True if a failed attempt may be followed by another one.
+bool mayRetryFailure(const call_origin &origin, const call_state &call)
+{
+    return std::visit(
+            overloaded{[&](exchange_id) {
+                           return call.repeatable
+                                  && (!call.running.empty() || call.sent < call.matchedRoute.maxAttempts);
+                       },
+                       // A round without attempts left is followed by another round.
+                       [&](const reward_origin &) { return call.failures < call.matchedRoute.maxAttempts; }},
+            origin);
+}
+
 } // namespace
 
+void startCall(step &s, const call_origin &origin, call_state call)
+{
+    call.arrivedAt = s.ctx.now;
+    milliseconds timeout = kMaxCallTimeout;
+    if (call.matchedRoute.timeout.count() > 0) {
+        timeout = std::min(timeout, call.matchedRoute.timeout);
+    }
+    if (call.call.remainingTimeout.count() > 0) {
+        timeout = std::min(timeout, call.call.remainingTimeout);
+    }
+    call.deadline = s.ctx.now + std::max(milliseconds{1}, timeout - kResponseTransferTime);
+    s.state.calls.insert_or_assign(origin, std::move(call));
+    retryOrRefuse(s, origin);
+}
+
+void cancelCall(step &s, const call_origin &origin)
+{
+    auto cancelled = s.state.calls.extract(origin);
+    if (!cancelled.empty()) {
+        cancelAttempts(s, cancelled.mapped());
+    }
+}
+
+double expectedRewardDuration(const node_state &state, const reward_call &reward)
+{
+    const route *matchedRoute = findRoute(state.config, reward.host, reward.path);
+    return matchedRoute == nullptr ? 0 : expectedCallDuration(state, *matchedRoute);
+}
+
 void onCallReceived(step &s, const call_received &received)
 {
     node_state &state = s.state;
@@ -127,23 +241,14 @@
     call_state newCall;
     newCall.call = call;
     newCall.matchedRoute = *matched;
-    newCall.arrivedAt = s.ctx.now;
-    milliseconds timeout = kMaxCallTimeout;
-    if (matched->timeout.count() > 0) {
-        timeout = std::min(timeout, matched->timeout);
-    }
-    if (call.remainingTimeout.count() > 0) {
-        timeout = std::min(timeout, call.remainingTimeout);
-    }
-    newCall.deadline = s.ctx.now + std::max(milliseconds{1}, timeout - kResponseTransferTime);
-    state.calls.insert_or_assign(exchange, std::move(newCall));
-    retryOrRefuse(s, exchange);
+    newCall.repeatable = matched->kind == route_kind::repeatable;
+    startCall(s, exchange, std::move(newCall));
 }
 
 void onCallEnded(step &s, const call_operation &operation, const call_ended &ended)
 {
     releaseSlot(s, operation.upstream);
-    const auto found = s.state.calls.find(operation.exchange);
+    const auto found = s.state.calls.find(operation.origin);
     if (found == s.state.calls.end()) {
         return;
     }
@@ -158,22 +263,18 @@
     case call_end::complete:
     case call_end::failed:
     case call_end::permanently_rejected: {
-        if (const auto view = s.state.upstreams.find(operation.upstream); view != s.state.upstreams.end()) {
-            double &smoothed = view->second.callMs;
-            smoothed = smoothed > 0 ? smoothed + kCallDurationWeight * (durationMs - smoothed) : durationMs;
+        recordCallDuration(s, operation.upstream, call.matchedRoute, durationMs);
+        if (ended.end == call_end::failed && ended.status == kServerError) {
+            ++call.failures;
         }
-        const bool mayRetry = ended.end == call_end::failed
-                              && call.matchedRoute.kind == route_kind::repeatable
-                              && (!call.running.empty() || call.sent < call.matchedRoute.maxAttempts);
-        if (mayRetry) {
+        if (ended.end == call_end::failed && mayRetryFailure(operation.origin, call)) {
             call.mayHaveRun = true;
+            s.log("call-failed", call.call.id.value,
+                  operation.upstream.value + " answered with status " + std::to_string(ended.status)
+                          + ", failure " + std::to_string(call.failures));
             break;
         }
-        cancelAttempts(s, call);
-        s.emit(observe{"call_ms", static_cast<double>((s.ctx.now - call.arrivedAt).count())});
-        countCallOutcome(s, "answered");
-        s.emit(answer_call{operation.exchange, ended.status, ended.headers, ended.body});
-        s.state.calls.erase(found);
+        answerCall(s, operation.origin, ended);
         return;
     }
     case call_end::not_run:
@@ -194,24 +295,27 @@
         break;
     }
     if (call.running.empty()) {
-        retryOrRefuse(s, operation.exchange);
+        retryOrRefuse(s, operation.origin);
     }
 }
 
 void hedgeAndExpireCalls(step &s)
 {
-    std::vector<exchange_id> expired;
-    for (auto &[exchange, call] : s.state.calls) {
+    std::vector<call_origin> expired;
+    for (auto &[origin, call] : s.state.calls) {
         if (call.deadline <= s.ctx.now) {
-            expired.push_back(exchange);
-        } else if (call.matchedRoute.kind == route_kind::repeatable && call.nextTryAt <= s.ctx.now) {
-            startAttempt(s, call);
-            call.nextTryAt = call.deadline;
+            expired.push_back(origin);
+        } else if (call.repeatable && call.nextTryAt <= s.ctx.now
+                   && call.sent < call.matchedRoute.maxAttempts) {
+            // A further hedge follows after the whole time so far: most calls that are this late are long
+            // themselves, so that more upstreams would not answer sooner.
+            call.nextTryAt = startAttempt(s, origin, call) ? s.ctx.now + (s.ctx.now - call.arrivedAt)
+                                                           : s.ctx.now + kHedgeRetryInterval;
         }
     }
-    for (const exchange_id exchange : expired) {
-        const call_state &call = s.state.calls.at(exchange);
-        refuseCall(s, exchange,
+    for (const call_origin &origin : expired) {
+        const call_state &call = s.state.calls.at(origin);
+        refuseCall(s, origin,
                    call.mayHaveRun || !call.running.empty() ? refusal::deadline_exceeded : refusal::not_run,
                    "deadline exceeded");
     }
--- a/src/node_pack.h
+++ b/src/node_pack.h
@@ -29,34 +29,40 @@
 
 namespace jacinthvale::node {
 
-/// Format version, the first value in all packed data. unpack() rejects other versions.
+/// Default format version, the first value in all packed data. Reading rejects other versions.
 inline constexpr std::uint8_t kFormatVersion = 1;
 
-/// Serializes the values in the given order.
+/// Serializes the values in the given order, after the format version.
 template <typename... Values>
-std::string pack(const Values &...values)
+std::string packAs(std::uint8_t format, const Values &...values)
 {
     std::ostringstream stream(std::ios::binary);
     cereal::PortableBinaryOutputArchive archive(stream);
-    archive(kFormatVersion, values...);
+    archive(format, values...);
     return std::move(stream).str();
 }
 
+template <typename... Values>
+std::string pack(const Values &...values)
+{
+    return packAs(kFormatVersion, values...);
+}
+
 /// Handling of bytes after the last value. `ignore` is for rows where a shorter value was written over some
 /// of the fragments of a longer one, so that old fragments remain.
 enum class trailing_bytes : std::uint8_t { reject, ignore };
 
-/// Reads values written by pack(). Returns false if the bytes are malformed or of another format version; the
-/// values are then undefined, and the caller logs the failure.
-template <trailing_bytes Trailing = trailing_bytes::reject, typename... Values>
-bool unpack(const std::string &bytes, Values &...values)
+/// Reads values written by packAs(). Returns false if the bytes are malformed or of another format version;
+/// the values are then undefined, and the caller logs the failure.
+template <trailing_bytes Trailing, typename... Values>
+bool unpackAs(std::uint8_t expectedFormat, const std::string &bytes, Values &...values)
 {
     try {
         std::istringstream stream(bytes, std::ios::binary);
         cereal::PortableBinaryInputArchive archive(stream);
         std::uint8_t format = 0;
         archive(format);
-        if (format != kFormatVersion) {
+        if (format != expectedFormat) {
             return false;
         }
         archive(values...);
@@ -67,4 +73,10 @@
     }
 }
 
+template <trailing_bytes Trailing = trailing_bytes::reject, typename... Values>
+bool unpack(const std::string &bytes, Values &...values)
+{
+    return unpackAs<Trailing>(kFormatVersion, bytes, values...);
+}
+
 } // namespace jacinthvale::node
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -44,6 +44,13 @@
 /// read the tokens of that run again.
 constexpr double kOutOfMemoryCostFactor = 2.5;
 
+/// Share of an upstream's slots that background calls of one process may occupy.
+constexpr double kBackgroundSlotShare = 0.5;
+
+/// Lower bound of an upstream's relative call duration; applies to upstreams without a measurement, so that
+/// they get a call soon.
+constexpr double kMinRelativeCallDuration = 0.05;
+
 /// Tokens of a prompt if only the sum of prompt and output is known.
 constexpr double kDefaultPromptTokens = 300;
 
@@ -84,6 +91,11 @@
     return result;
 }
 
+unsigned backgroundSlots(const upstream_view &view)
+{
+    return std::max(1U, static_cast<unsigned>(kBackgroundSlotShare * view.entry.slots));
+}
+
 bool isUsable(const upstream_view &view, const service_id &service, instant now)
 {
     return view.entry.service == service && !view.entry.draining && view.ejectedUntil <= now;
@@ -286,12 +298,17 @@
     return best;
 }
 
+double promptTokensOf(const batch_item &item)
+{
+    return item.promptTokens > 0 ? item.promptTokens : std::min<double>(kDefaultPromptTokens, item.tokens);
+}
+
 double expectedTokens(const batch_item &item)
 {
     if (item.expectedOutput == 0) {
         return kDefaultTokenShare * item.tokens;
     }
-    return std::min<double>(item.tokens, kDefaultPromptTokens + item.expectedOutput);
+    return std::min<double>(item.tokens, promptTokensOf(item) + item.expectedOutput);
 }
 
 bool isShort(const batch_item &item)
@@ -306,8 +323,9 @@
                                        ? 1
                                        : limits->second.tokensPerChunk;
     const auto received = static_cast<double>(item.chunkCount);
-    const double maximum = std::max(0.0, (item.item.tokens - kDefaultPromptTokens) / chunkTokens - received);
-    const double estimated = (expectedTokens(item.item) - kDefaultPromptTokens) / chunkTokens - received;
+    const double prompt = promptTokensOf(item.item);
+    const double maximum = std::max(0.0, (item.item.tokens - prompt) / chunkTokens - received);
+    const double estimated = (expectedTokens(item.item) - prompt) / chunkTokens - received;
     return std::min(maximum, std::max(estimated, kMinRemainingShare * received));
 }
 
@@ -315,21 +333,22 @@
 {
     const auto limits = state.config.engines.find(service);
     const double chunkTokens = limits == state.config.engines.end() ? 0 : limits->second.tokensPerChunk;
-    const double received = kDefaultPromptTokens
+    const double received = promptTokensOf(item.item)
                             + chunkTokens * static_cast<double>(item.chunkCount) * (1 + kMinRemainingShare);
     return std::max(expectedTokens(item.item), std::min<double>(item.item.tokens, received));
 }
 
 std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
-                                     const std::set<upstream_id> &tried, instant now)
+                                     const std::set<upstream_id> &tried, call_priority priority, instant now)
 {
     std::optional<upstream_id> best;
     double bestCost = 0;
     for (const auto &[id, view] : state.upstreams) {
-        if (!isUsable(view, service, now) || tried.contains(id)) {
+        if (!isUsable(view, service, now) || tried.contains(id)
+            || (priority == call_priority::background && view.running >= backgroundSlots(view))) {
             continue;
         }
-        double cost = (1.0 + view.running) * std::max(1.0, view.callMs);
+        double cost = (1.0 + view.running) * std::max(kMinRelativeCallDuration, view.relativeCallDuration);
         if (view.entry.zone != state.self.availabilityZone) {
             cost *= kCrossZoneCostFactor;
         }
@@ -366,9 +385,11 @@
 double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
                      const route &matchedRoute, const service_id &service, double medianInterChunkLatencyMs)
 {
-    const double work
+    const double generation
             = expectedRemainingChunks(state, service, item)
               * (medianInterChunkLatencyMs > 0 ? medianInterChunkLatencyMs : kDefaultInterChunkLatencyMs);
+    const double work
+            = generation + (item.item.reward ? expectedRewardDuration(state, *item.item.reward) : 0);
     const auto due = static_cast<double>(matchedRoute.due.count());
     return static_cast<double>(batch.acceptedAtMs) + due - work + (item.isSurplus ? due : 0);
 }
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -90,6 +90,9 @@
 /// full.
 std::optional<upstream_id> placeRun(const node_state &state, const placement_request &request, instant now);
 
+/// @returns the tokens of an item's prompt; an estimate if the client did not tell.
+double promptTokensOf(const batch_item &item);
+
 /// @returns the expected tokens of an item's prompt and output.
 double expectedTokens(const batch_item &item);
 
@@ -104,9 +107,13 @@
 /// far.
 double expectedRemainingChunks(const node_state &state, const service_id &service, const owned_item &item);
 
-/// @returns the upstream for a forwarded call, except those in `tried`; none if all are ejected or draining.
+/// Background calls leave slots of each upstream free for interactive ones.
+enum class call_priority : std::uint8_t { interactive, background };
+
+/// @returns the upstream for a forwarded call, except those in `tried`; none if all are ejected, draining or,
+/// for background calls, without a free slot in their share.
 std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
-                                     const std::set<upstream_id> &tried, instant now);
+                                     const std::set<upstream_id> &tried, call_priority priority, instant now);
 
 /// @returns the groups that the trainer does not need to wait for: those with the longest items, but never
 /// groups that were resubmitted from an earlier step.
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -29,6 +29,7 @@
     expireOverdueItems(s);
     hedgeAndExpireCalls(s);
     moveStragglers(s);
+    startRewards(s);
     startRuns(s);
     checkpointBatches(s);
     pollPages(s);
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -2,11 +2,48 @@
 
 #include "node_pack.h"
 
+#include <algorithm>
+#include <cereal/types/optional.hpp>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 
 namespace jacinthvale::node {
 
+namespace {
+
+/// Format of progress rows with complete texts and of result rows with a score; format 1 has neither.
+constexpr std::uint8_t kScoredFormat = 2;
+
+/// Fields of a batch_item that its row lacks.
+struct item_extension
+{
+    unsigned promptTokens = 0;
+    std::optional<reward_call> reward;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(promptTokens, reward);
+    }
+};
+
+/// Fields of an item_progress that format 1 lacks.
+struct progress_extension
+{
+    bool complete = false;
+    std::string score;
+    unsigned rewardFailures = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(complete, score, rewardFailures);
+    }
+};
+
+} // namespace
+
 std::string batchPartition(const batch_id &id)
 {
     return absl::StrFormat("b%d", stableHash(id.value) % kBatchPartitions);
@@ -38,6 +75,11 @@
     }
 }
 
+std::string extensionsKeyPrefix(const batch_id &id)
+{
+    return id.value + "/e";
+}
+
 std::string itemsKeyPrefix(const batch_id &id)
 {
     return id.value + "/i";
@@ -58,6 +100,11 @@
     return absl::StrFormat("%s%04d", progressKeyPrefix(id), fragment);
 }
 
+std::string extensionsKey(const batch_id &id, std::size_t fragment)
+{
+    return absl::StrFormat("%s%04d", extensionsKeyPrefix(id), fragment);
+}
+
 std::string resultKey(const batch_id &id, std::size_t position, std::size_t fragment)
 {
     return absl::StrFormat("%s/%08d.%04d", id.value, position, fragment);
@@ -86,6 +133,11 @@
     return key.starts_with(progressKeyPrefix(id));
 }
 
+bool isExtensionsKey(const batch_id &id, const std::string &key)
+{
+    return key.starts_with(extensionsKeyPrefix(id));
+}
+
 std::vector<std::string> splitIntoFragments(const std::string &bytes)
 {
     std::vector<std::string> result;
@@ -131,26 +183,73 @@
     return unpack(bytes, items) ? std::optional(std::move(items)) : std::nullopt;
 }
 
+std::string encodeExtensions(const std::vector<batch_item> &items)
+{
+    std::vector<item_extension> extensions;
+    std::ranges::transform(items, std::back_inserter(extensions), [](const batch_item &item) {
+        return item_extension{item.promptTokens, item.reward};
+    });
+    return pack(extensions);
+}
+
+bool applyExtensions(const std::string &bytes, std::vector<batch_item> &items)
+{
+    std::vector<item_extension> extensions;
+    if (!unpack(bytes, extensions) || extensions.size() != items.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        items[i].promptTokens = extensions[i].promptTokens;
+        items[i].reward = std::move(extensions[i].reward);
+    }
+    return true;
+}
+
 std::string encodeProgress(const std::vector<item_progress> &items)
 {
-    return pack(items);
+    std::vector<progress_extension> extensions;
+    std::ranges::transform(items, std::back_inserter(extensions), [](const item_progress &item) {
+        return progress_extension{item.complete, item.score, item.rewardFailures};
+    });
+    const bool scored = std::ranges::any_of(
+            items, [](const item_progress &item) { return item.complete || item.rewardFailures > 0; });
+    return scored ? packAs(kScoredFormat, items, extensions) : pack(items);
 }
 
 std::optional<std::vector<item_progress>> decodeProgress(const std::string &bytes)
 {
     std::vector<item_progress> items;
-    return unpack<trailing_bytes::ignore>(bytes, items) ? std::optional(std::move(items)) : std::nullopt;
+    if (unpack<trailing_bytes::ignore>(bytes, items)) {
+        return items;
+    }
+    std::vector<progress_extension> extensions;
+    items.clear();
+    if (!unpackAs<trailing_bytes::ignore>(kScoredFormat, bytes, items, extensions)
+        || extensions.size() != items.size()) {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        items[i].complete = extensions[i].complete;
+        items[i].score = std::move(extensions[i].score);
+        items[i].rewardFailures = extensions[i].rewardFailures;
+    }
+    return items;
 }
 
 std::string encodeResult(const item_result &result)
 {
-    return pack(result);
+    return result.score.empty() ? pack(result) : packAs(kScoredFormat, result, result.score);
 }
 
 std::optional<item_result> decodeResult(const std::string &bytes)
 {
     item_result result;
-    return unpack(bytes, result) ? std::optional(std::move(result)) : std::nullopt;
+    if (unpack(bytes, result)) {
+        return result;
+    }
+    return unpackAs<trailing_bytes::reject>(kScoredFormat, bytes, result, result.score)
+                   ? std::optional(std::move(result))
+                   : std::nullopt;
 }
 
 std::string encodeMember(const member &daemon)
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -29,15 +29,19 @@
 /// Keys of a fragment of a batch's items, of its progress, and of a committed result.
 std::string itemsKey(const batch_id &id, std::size_t fragment);
 std::string progressKey(const batch_id &id, std::size_t fragment);
+std::string extensionsKey(const batch_id &id, std::size_t fragment);
 std::string resultKey(const batch_id &id, std::size_t position, std::size_t fragment);
 /// Exclusive upper bound of the key range that holds all rows of a batch.
 std::string batchKeysEnd(const batch_id &id);
-/// Key prefixes of the two kinds of rows in the items table; each is also the lower bound of its kind.
+/// Key prefixes of the kinds of rows in the items table, in ascending order; each is also the lower bound of
+/// its kind. Older builds read from itemsKeyPrefix() and never see the extensions.
+std::string extensionsKeyPrefix(const batch_id &id);
 std::string itemsKeyPrefix(const batch_id &id);
 std::string progressKeyPrefix(const batch_id &id);
 /// Returns the result's position in its batch, or nullopt if the key is not a result key.
 std::optional<std::size_t> resultPosition(const std::string &key);
 bool isProgressKey(const batch_id &id, const std::string &key);
+bool isExtensionsKey(const batch_id &id, const std::string &key);
 
 /// Splits bytes into fragments of at most kMaxRowBytes; returns one empty fragment for empty input.
 std::vector<std::string> splitIntoFragments(const std::string &bytes);
@@ -50,7 +54,14 @@
     std::uint64_t chunkCount = 0;
     std::vector<std::uint64_t> versions;
     unsigned failures = 0;
+    /// The text is complete.
+    bool complete = false;
+    std::string score;
+    unsigned rewardFailures = 0;
 
+    auto operator<=>(const item_progress &) const = default;
+
+    /// Fields of format 1; encodeProgress() appends the others in format 2.
     template <typename Archive>
     void serialize(Archive &archive)
     {
@@ -62,6 +73,11 @@
 std::optional<batch_head> decodeHead(const row &source);
 std::string encodeItems(const std::vector<batch_item> &items);
 std::optional<std::vector<batch_item>> decodeItems(const std::string &bytes);
+/// Encodes prompt tokens and reward calls of the items.
+std::string encodeExtensions(const std::vector<batch_item> &items);
+/// Sets prompt tokens and reward calls of the items from encoded extensions; none for batches that an older
+/// build accepted. @returns false if the bytes are malformed.
+bool applyExtensions(const std::string &bytes, std::vector<batch_item> &items);
 std::string encodeProgress(const std::vector<item_progress> &items);
 std::optional<std::vector<item_progress>> decodeProgress(const std::string &bytes);
 std::string encodeResult(const item_result &result);
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -151,6 +151,16 @@
 
 } // namespace
 
+void onTextComplete(step &s, owned_batch &batch, std::size_t index)
+{
+    owned_item &item = batch.items[index];
+    if (item.item.reward && item.score.empty()) {
+        queueReward(s, item);
+        return;
+    }
+    finishItem(s, batch, index, item_state::succeeded);
+}
+
 void finishItem(step &s, owned_batch &batch, std::size_t index, item_state outcome)
 {
     owned_item &item = batch.items[index];
@@ -379,7 +389,8 @@
     switch (end) {
     case call_end::complete:
         s.emit(observe{"item_run_ms", static_cast<double>((s.ctx.now - item.startedAt).count())});
-        finishItem(s, batch, operation.item, item_state::succeeded);
+        onTextComplete(s, batch, operation.item);
+        startRewards(s);
         commitFinished(s, batch);
         break;
     case call_end::not_run:
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -149,12 +149,37 @@
 void finishItem(step &s, owned_batch &batch, std::size_t index, item_state outcome);
 void startRuns(step &s);
 void moveStragglers(step &s);
+/// Keeps the output of unlisted items of a batch that ended: they may return in a later batch.
+void retainOutputs(step &s, const owned_batch &batch);
+/// Sets retained output of items that return in this batch, if its weight versions fit.
+void reuseOutputs(step &s, owned_batch &batch);
+/// Marks an item whose text is complete: scored if it has a reward call, otherwise finished.
+void onTextComplete(step &s, owned_batch &batch, std::size_t index);
 void onRunProgress(step &s, const run_operation &operation, const run_progressed &progress);
 void onRunEnded(step &s, const run_operation &operation, call_end end);
 void stopRun(step &s, owned_item &item);
 void markSurplus(owned_batch &batch);
 
+// Reward calls of items with a complete text (node_rewards.cpp).
+/// Queues the reward call of an item whose text is complete.
+void queueReward(step &s, owned_item &item);
+/// Starts reward calls of queued items, as far as the limits of the service allow.
+void startRewards(step &s);
+/// Cancels the reward call of an item; its text stays complete.
+void stopReward(step &s, const batch_id &batch, std::size_t index, owned_item &item);
+/// An upstream answered: sets the score, or gives the item up if its reward call always fails.
+void onRewardAnswered(step &s, const reward_origin &origin, const call_state &call, const call_ended &ended);
+/// No upstream answered within the limits of the route; the call is repeated later.
+void onRewardUnanswered(step &s, const reward_origin &origin, const call_state &call,
+                        const std::string &reason);
+
 // Forwarded calls (node_calls.cpp).
+/// Starts a call of a client or of an item. `call` names the request, the route, and whether it may repeat.
+void startCall(step &s, const call_origin &origin, call_state call);
+/// Cancels the attempts of a call, if it exists.
+void cancelCall(step &s, const call_origin &origin);
+/// @returns the expected duration of an item's reward call in ms; 0 if no route serves it.
+double expectedRewardDuration(const node_state &state, const reward_call &reward);
 void onCallReceived(step &s, const call_received &request);
 void onCallEnded(step &s, const call_operation &operation, const call_ended &end);
 void hedgeAndExpireCalls(step &s);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -31,15 +31,18 @@
     std::vector<item_progress> result;
     std::size_t bytes = 0;
     for (const owned_item &item : batch.items) {
+        const bool complete
+                = item.phase == item_phase::unscored || item.phase == item_phase::scoring
+                  || (item.phase == item_phase::finished && item.outcome == item_state::succeeded);
         const bool unfinished = item.phase == item_phase::waiting || item.phase == item_phase::running;
-        if (!unfinished || (item.chunkCount < kMinCheckpointChunks && item.failures == 0)
-            || bytes + item.text.size() > kMaxProgressBytes) {
+        const bool started = item.chunkCount >= kMinCheckpointChunks || item.failures > 0;
+        if ((!complete && !(unfinished && started)) || bytes + item.text.size() > kMaxProgressBytes) {
             continue;
         }
         bytes += item.text.size();
         result.push_back({item.item.id, item.text, item.chunkCount,
                           std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()),
-                          item.failures});
+                          item.failures, complete, item.score, item.rewardFailures});
     }
     return result;
 }
@@ -82,7 +85,8 @@
         return;
     }
     s.emit(read_rows{op, table_id::items, batchPartition(id),
-                     loading.nextFrom.empty() ? itemsKeyPrefix(id) : loading.nextFrom, batchKeysEnd(id)});
+                     loading.nextFrom.empty() ? extensionsKeyPrefix(id) : loading.nextFrom,
+                     batchKeysEnd(id)});
 }
 
 void finishLoading(step &s, const batch_id &id)
@@ -94,6 +98,11 @@
         s.log("items-unreadable", id.value, "cannot decode the items; the batch is not run");
         return;
     }
+    if (!loading.extensionBytes.empty() && !applyExtensions(loading.extensionBytes, *items)) {
+        s.log("item-extensions-unreadable", id.value,
+              "cannot decode prompt tokens and reward calls; the batch is not run");
+        return;
+    }
     owned_batch batch;
     batch.spec = loading.head.spec;
     batch.epoch = loading.head.epoch;
@@ -106,6 +115,7 @@
         ownedItem.item = std::move(item);
         batch.items.push_back(std::move(ownedItem));
     }
+    std::vector<std::size_t> completeTexts;
     std::vector<item_progress> none;
     auto checkpointed = decodeProgress(loading.progressBytes);
     for (item_progress &progress : checkpointed ? *checkpointed : none) {
@@ -118,6 +128,11 @@
         item.chunkCount = progress.chunkCount;
         item.versions = {progress.versions.begin(), progress.versions.end()};
         item.failures = progress.failures;
+        item.rewardFailures = progress.rewardFailures;
+        item.score = std::move(progress.score);
+        if (progress.complete) {
+            completeTexts.push_back(found->second);
+        }
     }
     for (item_result &result : loading.results) {
         if (const auto found = index.find(result.id); found != index.end()) {
@@ -128,6 +143,11 @@
         }
         batch.committedResults.push_back(std::move(result));
     }
+    for (const std::size_t complete : completeTexts) {
+        if (batch.items[complete].phase == item_phase::waiting) {
+            onTextComplete(s, batch, complete);
+        }
+    }
     s.log("batch-taken-over", id.value,
           "committed " + std::to_string(batch.committedResults.size()) + " of "
                   + std::to_string(batch.items.size()));
@@ -209,7 +229,9 @@
         if (loading.readingResults) {
             break;
         }
-        if (isProgressKey(id, change.row.key.key)) {
+        if (isExtensionsKey(id, change.row.key.key)) {
+            loading.extensionBytes += change.row.value;
+        } else if (isProgressKey(id, change.row.key.key)) {
             loading.progressBytes += change.row.value;
         } else {
             loading.itemBytes += change.row.value;
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -152,6 +152,13 @@
         }
         return true;
     });
+    std::erase_if(m_calls, [&](const auto &entry) {
+        if (entry.first.first != daemon) {
+            return false;
+        }
+        --findUpstream(entry.second)->calls;
+        return true;
+    });
 }
 
 void node_simulation::stop(std::size_t daemon)
@@ -220,6 +227,7 @@
                             }
                             m_runs.erase(found);
                         }
+                        cancelForwardedCall(daemon, e.op);
                     },
                     [&](const request_upstream_status &e) { reportStatus(daemon, e); },
                     [&](const order_weights &e) { orderWeights(daemon, e); },
@@ -228,7 +236,12 @@
                     [&](const accept_batch &e) { storeAnswer(e); },
                     [&](const answer_page &e) { storeAnswer(e); },
                     [&](const answer_item &e) { storeAnswer(e); },
-                    [&](const answer_batch_ended &e) { storeAnswer(e); },
+                    [&](const answer_batch_ended &e) {
+                        if (const auto ended = m_endRequests.find(e.exchange); ended != m_endRequests.end()) {
+                            m_batchEndedAt.try_emplace(ended->second, m_now);
+                        }
+                        storeAnswer(e);
+                    },
                     [&](const end_process &) { kill(daemon); },
                     [&](const log_decision &e) { m_claimCount += e.eventName == "batch-claim" ? 1 : 0; },
                     [](const auto &) {}},
@@ -436,6 +449,7 @@
         if (result->state != item_state::succeeded) {
             continue;
         }
+        checkScore(*result);
         std::string expected;
         for (unsigned i = 1; i <= m_chunkCounts[result->id.value]; ++i) {
             expected += (i > 1 ? "\n" : "") + chunkText(result->id, i);
@@ -503,10 +517,22 @@
     return result;
 }
 
+batch node_simulation::withRewards(batch submitted, const std::string &path)
+{
+    for (batch_item &item : submitted.items) {
+        item.reward = reward_call{{"reward-" + item.id.value}, "h.example", path, item.id.value};
+    }
+    return submitted;
+}
+
 exchange_id node_simulation::submitBatch(std::size_t daemon, const batch &submitted)
 {
     for (const batch_item &item : submitted.items) {
         m_chunkCounts[item.id.value] = static_cast<unsigned>(std::stoul(item.body));
+        if (item.reward) {
+            m_rewards[item.reward->id.value].item = item.id;
+            m_rewards[item.reward->id.value].batch = submitted.id;
+        }
     }
     m_minVersions[submitted.id.value] = submitted.minVersion.value;
     const exchange_id exchange{++m_lastExchange};
@@ -532,6 +558,7 @@
 exchange_id node_simulation::endBatch(std::size_t daemon, const batch_id &id)
 {
     const exchange_id exchange{++m_lastExchange};
+    m_endRequests[exchange] = id;
     deliver(daemon, m_daemons.at(daemon).generation, batch_end_requested{exchange, id});
     return exchange;
 }
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -14,6 +14,18 @@
 
 namespace jacinthvale::test {
 
+/// How a simulated upstream treats forwarded calls.
+enum class call_behaviour : std::uint8_t {
+    answers,
+    /// Refuses the call as not run.
+    refuses,
+    hangs,
+    /// Runs the call and answers with status 500.
+    fails,
+    /// Answers with success, but without a seal.
+    answersWithoutSeal,
+};
+
 /// State of a simulated upstream.
 struct simulated_upstream
 {
@@ -30,6 +42,9 @@
     std::uint64_t lastFencing = 0;
     unsigned running = 0;
     unsigned maxRunning = 0;
+    call_behaviour callBehaviour = call_behaviour::answers;
+    unsigned calls = 0;
+    unsigned maxCalls = 0;
 };
 
 /// Answer to a caller; std::monostate before it arrives.
@@ -114,6 +129,10 @@
     void setNamedVersion(const std::string &model, std::uint64_t version);
     void putConfig(const node::route_table &table);
 
+    /// Adds a reward call to each item of a batch.
+    static node::batch withRewards(node::batch submitted, const std::string &path = "/plain/reward");
+    /// The upstreams answer this request with status 500 whenever they run it.
+    void failAlways(const request_id &id) { m_failingCalls.insert(id.value); }
     /// Returns a batch whose items produce the given numbers of chunks.
     static node::batch makeBatch(const std::string &id, const std::string &model, std::uint64_t minVersion,
                                  const std::vector<unsigned> &chunkCounts);
@@ -135,6 +154,9 @@
     /// Number of reads of rows and of changes by all daemons.
     std::size_t readCount() const { return m_readCount; }
     std::size_t runsStarted() const { return m_runsStarted; }
+    /// Number of reward calls that upstreams received, and of those that they ran.
+    std::size_t rewardCallsReceived() const { return m_rewardCallsReceived; }
+    std::size_t rewardCallsRun() const { return m_rewardCallsRun; }
     std::size_t claimCount() const { return m_claimCount; }
     std::size_t ordersSent() const { return m_ordersSent; }
     /// Number of runs and calls sent to each upstream.
@@ -173,6 +195,10 @@
     void startRun(std::size_t daemon, const node::run_item &request);
     void produceChunk(std::size_t daemon, node::op_id op, std::uint64_t generation);
     void forwardCall(std::size_t daemon, const node::forward_call &request);
+    void answerForwardedCall(std::size_t daemon, const node::forward_call &request);
+    void cancelForwardedCall(std::size_t daemon, node::op_id op);
+    void checkRewardCall(const node::forward_call &request);
+    void checkScore(const node::item_result &result);
     void orderWeights(std::size_t daemon, const node::order_weights &request);
     void reportStatus(std::size_t daemon, const node::request_upstream_status &request);
     void writeUpstreamHeartbeats();
@@ -225,6 +251,22 @@
     std::map<upstream_id, std::size_t> m_runsPerUpstream;
     std::map<std::string, unsigned> m_chunkCounts;
     std::map<std::string, std::uint64_t> m_minVersions;
+    struct simulated_reward
+    {
+        node::item_id item;
+        node::batch_id batch;
+        std::set<std::string> seals;
+    };
+    /// Upstreams of the forwarded calls in progress.
+    std::map<std::pair<std::size_t, node::op_id>, upstream_id> m_calls;
+    std::map<std::string, simulated_reward> m_rewards;
+    /// Items whose last chunk was produced.
+    std::set<std::string> m_completeTexts;
+    std::map<exchange_id, node::batch_id> m_endRequests;
+    std::map<node::batch_id, instant> m_batchEndedAt;
+    std::set<std::string> m_failingCalls;
+    std::size_t m_rewardCallsReceived = 0;
+    std::size_t m_rewardCallsRun = 0;
     std::vector<std::shared_ptr<std::function<void()>>> m_ticks;
     std::vector<std::string> m_violations;
 };
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -11,7 +11,8 @@
 
 constexpr milliseconds kUpstreamHeartbeatInterval{1200};
 constexpr milliseconds kLoadTime{900};
-constexpr milliseconds kCallTime{25};
+/// Time after the end of a batch within which the daemons must stop its work.
+constexpr milliseconds kCancelTime{3000};
 
 } // namespace
 
@@ -73,6 +74,9 @@
         }
     }
     const bool complete = run.producedChunks >= m_chunkCounts[id.value];
+    if (complete) {
+        m_completeTexts.insert(id.value);
+    }
     const std::uint64_t produced = run.producedChunks;
     if (!complete) {
         schedule(m_now + target->interChunkLatency, [=, this] { produceChunk(daemon, op, generation); });
@@ -90,17 +94,86 @@
 void node_simulation::forwardCall(std::size_t daemon, const forward_call &request)
 {
     ++m_runsPerUpstream[request.upstream];
-    const simulated_upstream *target = findUpstream(request.upstream);
-    if (!target->up) {
+    checkRewardCall(request);
+    simulated_upstream *target = findUpstream(request.upstream);
+    if (!target->up || target->callBehaviour == call_behaviour::refuses) {
         deliverAfter(daemon, milliseconds{2}, call_ended{request.op, call_end::not_run, 0, {}, {}});
         return;
     }
-    if (chance(m_brokenCallShare)) {
-        deliverAfter(daemon, kCallTime, call_ended{request.op, call_end::incomplete, 0, {}, {}});
+    ++target->calls;
+    target->maxCalls = std::max(target->maxCalls, target->calls);
+    m_calls[{daemon, request.op}] = request.upstream;
+    if (target->callBehaviour == call_behaviour::hangs) {
+        return;
+    }
+    m_rewardCallsRun += m_rewards.contains(request.call.id.value) ? 1 : 0;
+    schedule(m_now + target->interChunkLatency, [=, this] { answerForwardedCall(daemon, request); });
+}
+
+void node_simulation::answerForwardedCall(std::size_t daemon, const forward_call &request)
+{
+    if (!m_calls.contains({daemon, request.op})) {
+        return;
+    }
+    cancelForwardedCall(daemon, request.op);
+    const simulated_upstream *target = findUpstream(request.upstream);
+    const std::uint64_t generation = m_daemons.at(daemon).generation;
+    if (!target->up || chance(m_brokenCallShare)) {
+        deliver(daemon, generation, call_ended{request.op, call_end::incomplete, 0, {}, {}});
+        return;
+    }
+    if (target->callBehaviour == call_behaviour::fails || m_failingCalls.contains(request.call.id.value)) {
+        deliver(daemon, generation, call_ended{request.op, call_end::failed, 500, {}, {}});
+        return;
+    }
+    if (target->callBehaviour == call_behaviour::answersWithoutSeal) {
+        // The adapter reports a success without a seal as incomplete.
+        deliver(daemon, generation, call_ended{request.op, call_end::incomplete, 200, {}, {}});
         return;
     }
-    deliverAfter(daemon, target->interChunkLatency,
-                 call_ended{request.op, call_end::complete, 200, {}, request.call.id.value});
+    const std::string seal = "seal-" + std::to_string(++m_sequence);
+    if (const auto reward = m_rewards.find(request.call.id.value); reward != m_rewards.end()) {
+        reward->second.seals.insert(seal);
+    }
+    deliver(daemon, generation,
+            call_ended{request.op, call_end::complete, 200, {}, request.call.id.value, seal});
+}
+
+void node_simulation::cancelForwardedCall(std::size_t daemon, op_id op)
+{
+    if (const auto found = m_calls.find({daemon, op}); found != m_calls.end()) {
+        --findUpstream(found->second)->calls;
+        m_calls.erase(found);
+    }
+}
+
+void node_simulation::checkRewardCall(const forward_call &request)
+{
+    const auto found = m_rewards.find(request.call.id.value);
+    if (found == m_rewards.end()) {
+        return;
+    }
+    ++m_rewardCallsReceived;
+    const auto &[item, batch, seals] = found->second;
+    if (!m_completeTexts.contains(item.value)) {
+        addViolation("reward call of " + item.value + " was sent before its last chunk was produced");
+    }
+    if (const auto ended = m_batchEndedAt.find(batch);
+        ended != m_batchEndedAt.end() && m_now - ended->second > kCancelTime) {
+        addViolation("reward call of " + item.value + " was sent after the end of its batch");
+    }
+}
+
+void node_simulation::checkScore(const item_result &result)
+{
+    const auto found = std::ranges::find_if(
+            m_rewards, [&](const auto &reward) { return reward.second.item == result.id; });
+    const bool valid
+            = found == m_rewards.end() ? result.score.empty() : found->second.seals.contains(result.score);
+    if (!valid) {
+        addViolation("score of " + result.id.value
+                     + " is not the seal of an answer to its reward call: " + result.score);
+    }
 }
 
 void node_simulation::reportStatus(std::size_t daemon, const request_upstream_status &request)
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -230,4 +230,89 @@
     EXPECT_FALSE(answered);
 }
 
+namespace {
+
+/// Body of a batch whose items are the given JSON objects.
+std::string batchBody(const std::string &items)
+{
+    return R"({"train_step":1,"model":"m1","min_version":1,"group_count":1,"requests":[)" + items + "]}";
+}
+
+std::string itemWithReward(const std::string &id, const std::string &reward)
+{
+    return R"({"id":")" + id
+           + R"(","path":"/x/1","headers":{"Jacinthvale-Token-Count":"540,400"},"body":"eA==","tokens":940,)"
+             R"("group":"g","scorer":)"
+           + reward + "}";
+}
+
+constexpr const char *kReward = R"({"id":"r1","host":"Pay.Example:80","path":"/s/1","body":"q83v"})";
+
+} // namespace
+
+TEST(platform_wire, decodesRewardCallAndPromptTokens)
+{
+    const auto decoded = platform::decodeBatch(batchBody(itemWithReward("i1", kReward)));
+    ASSERT_TRUE(decoded.has_value());
+    const batch_item &item = decoded->items.at(0);
+    EXPECT_EQ(item.promptTokens, 540U);
+    EXPECT_EQ(item.reward, (reward_call{{"r1"}, "pay.example", "/s/1", "\xab\xcd\xef"}));
+    EXPECT_FALSE(platform::decodeBatch(batchBody(itemWithReward("i1", "null")))->items.at(0).reward);
+}
+
+TEST(platform_wire, rejectsBatchWithMalformedOrRepeatedReward)
+{
+    for (const char *malformed :
+         {R"({"id":"r1","host":"h","path":"/s/1","body":"no base64!"})",
+          R"({"id":"","host":"h","path":"/s/1","body":"eA=="})", R"({"id":"r1","host":"h","body":"eA=="})",
+          R"({"id":"r1","path":"/s/1","body":"eA=="})", R"("r1")", "[]", "7"}) {
+        EXPECT_FALSE(platform::decodeBatch(batchBody(itemWithReward("i1", malformed)))) << malformed;
+    }
+    const std::string first = itemWithReward("i1", kReward);
+    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i2", kReward))));
+    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i1", "null"))));
+}
+
+TEST(platform_wire, rewardCallIsForwardedWithItsIdAndDeadline)
+{
+    forward_call forward;
+    forward.upstream = {"i-1"};
+    forward.call.id = {"r1"};
+    forward.call.method = "POST";
+    forward.call.host = "pay.example";
+    forward.call.target = "/s/1";
+    forward.remainingTimeout = milliseconds{900};
+    const call_http call = platform::encodeForwardedCall(forward);
+    EXPECT_EQ(call.headers.at(platform::kRequestIdHeader), "r1");
+    EXPECT_EQ(call.headers.at(platform::kDeadlineHeader), "900");
+    EXPECT_EQ(call.headers.at(platform::kExpectInstanceHeader), "i-1");
+}
+
+TEST(platform_wire, answerCountsOnlyWithWellFormedSeal)
+{
+    http_call_finished finished;
+    finished.outcome = transfer_outcome::complete;
+    finished.status = 200;
+    finished.headers = {{platform::kRequestIdHeader, "r1"}};
+    EXPECT_EQ(platform::decodeForwardedCall({1}, finished).end, call_end::incomplete);
+    for (const char *garbled : {"", "3e1b 07", "3e1b\x01", "\xff\xfe"}) {
+        finished.headers[platform::kResponseSealHeader] = garbled;
+        EXPECT_EQ(platform::decodeForwardedCall({1}, finished).end, call_end::incomplete) << garbled;
+    }
+    finished.headers[platform::kResponseSealHeader] = "3e1b.07.5a2";
+    EXPECT_EQ(platform::decodeForwardedCall({1}, finished).end, call_end::complete);
+    EXPECT_EQ(platform::decodeForwardedCall({1}, finished).seal, "3e1b.07.5a2");
+}
+
+TEST(platform_wire, pageShowsScoresOfScoredResultsOnly)
+{
+    const auto page = nlohmann::json::parse(platform::encodePage(
+            {{},
+             2,
+             0,
+             {{{"i1"}, item_state::succeeded, "t", {1}, "seal"}, {{"i2"}, item_state::lost, "", {}, ""}}}));
+    EXPECT_EQ(page["results"][0]["score"], "seal");
+    EXPECT_FALSE(page["results"][1].contains("score"));
+}
+
 } // namespace jacinthvale
