--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -23,7 +23,7 @@
     /// Runs the call and answers with status 500.
     fails,
     /// Answers with success, but without a seal.
-    answersWithoutSeal,
+    answers_without_seal,
 };
 
 /// State of a simulated upstream.
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -126,7 +126,7 @@
         deliver(daemon, generation, call_ended{request.op, call_end::failed, 500, {}, {}});
         return;
     }
-    if (target->callBehaviour == call_behaviour::answersWithoutSeal) {
+    if (target->callBehaviour == call_behaviour::answers_without_seal) {
         // The adapter reports a success without a seal as incomplete.
         deliver(daemon, generation, call_ended{request.op, call_end::incomplete, 200, {}, {}});
         return;
--- a/tests/test_node_rewards.cpp
+++ b/tests/test_node_rewards.cpp
@@ -284,7 +284,7 @@
     node_simulation simulation(13);
     simulation.run(kStartupTime);
     const batch submitted = makeScoredBatch("b1", {5, 9});
-    setScorers(simulation, call_behaviour::answersWithoutSeal);
+    setScorers(simulation, call_behaviour::answers_without_seal);
     simulation.submitBatch(0, submitted);
     simulation.run(milliseconds{4000});
     EXPECT_TRUE(simulation.committedResults(submitted.id).empty());
