--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -177,16 +177,14 @@
 
 std::unique_ptr<http_server> node_runtime::listen(const endpoint &address,
                                                   std::function<void(http_request_received)> onRequest,
+                                                  std::function<void(http_exchange_abandoned)> onAbandoned,
                                                   absl::Status &status)
 {
     http_server_limits limits;
     limits.maxHeaderBytes = m_settings.maxHeaderBytes;
     limits.maxBodyBytes = m_settings.maxBodyBytes;
     auto server = std::make_unique<http_server>(
-            m_base, limits,
-            http_server_listener{std::move(onRequest), [this](const http_exchange_abandoned &abandoned) {
-                                     post(caller_disconnected{abandoned.exchange});
-                                 }});
+            m_base, limits, http_server_listener{std::move(onRequest), std::move(onAbandoned)});
     status.Update(server->listen(address));
     return server;
 }
@@ -195,25 +193,31 @@
 {
     signal(SIGPIPE, SIG_IGN);
     absl::Status status;
+    // Each server numbers its exchanges on its own, and the reducer knows those of the entry server only.
+    const auto ignoreAbandoned = [](const http_exchange_abandoned &) {};
     m_entryServer = listen(
             m_settings.entry, [this](const http_request_received &request) { onEntryRequest(request); },
+            [this](const http_exchange_abandoned &abandoned) {
+                post(caller_disconnected{abandoned.exchange});
+            },
             status);
     m_readinessServer = listen(
             m_settings.readiness,
             [this](const http_request_received &request) {
                 m_readinessServer->reply({request.exchange, m_ready ? kOk : kUnavailable, {}, {}});
             },
-            status);
+            ignoreAbandoned, status);
     m_peerServer = listen(
             m_settings.identity.peer,
-            [this](const http_request_received &request) { onPeerRequest(request); }, status);
+            [this](const http_request_received &request) { onPeerRequest(request); }, ignoreAbandoned,
+            status);
     m_metricsServer = listen(
             m_settings.metrics,
             [this](const http_request_received &request) {
                 m_metricsServer->reply(
                         {request.exchange, kOk, {{"Content-Type", "text/plain"}}, m_metrics.render()});
             },
-            status);
+            ignoreAbandoned, status);
     if (!status.ok()) {
         return status;
     }
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -44,6 +44,7 @@
     void processQueue();
     std::unique_ptr<http_server> listen(const endpoint &address,
                                         std::function<void(http_request_received)> onRequest,
+                                        std::function<void(http_exchange_abandoned)> onAbandoned,
                                         absl::Status &status);
     void onEntryRequest(const http_request_received &request);
     void onPeerRequest(const http_request_received &request);
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -495,4 +495,51 @@
     runRandomFaults(76, 101);
 }
 
+TEST(node_batches, resultsOfAGroupAreCommittedTogether)
+{
+    // Pattern: a trainer that reads twice a second and needs complete groups. A page with a part of a group
+    // would delay the next read past the completion of the group.
+    node_simulation simulation(60);
+    simulation.run(kStartupTime);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {4, 4, 4, 60, 4, 4, 4, 8});
+    simulation.submitBatch(0, submitted);
+    ASSERT_TRUE(simulation.runUntil([&] { return !simulation.committedResults(submitted.id).empty(); },
+                                    kLongTimeout));
+    const auto results = simulation.committedResults(submitted.id);
+    EXPECT_EQ(results.size(), 4U);
+    for (const item_result &result : results) {
+        const auto item = std::ranges::find(submitted.items, result.id, &batch_item::id);
+        EXPECT_EQ(item->group, "g1");
+    }
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_batches, resultsOfIncompleteGroupsAreCommittedWhenTheBatchIsDue)
+{
+    node_simulation simulation(61);
+    simulation.run(kStartupTime);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {4, 4, 4, 400});
+    simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{7000});
+    EXPECT_TRUE(simulation.committedResults(submitted.id).empty());
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.committedResults(submitted.id).size() == 3; },
+                                    milliseconds{1000}));
+}
+
+TEST(node_batches, heldResultsSurviveTheirOwner)
+{
+    node_simulation simulation(62);
+    simulation.run(kStartupTime);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {4, 4, 4, 60});
+    simulation.submitBatch(0, submitted);
+    // The three short items are complete, and the owner has stored its progress.
+    simulation.run(milliseconds{1600});
+    const std::size_t runs = simulation.runsStarted();
+    simulation.kill(simulation.ownerIndex(submitted.id));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    EXPECT_EQ(simulation.runsStarted(), runs + 1);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
 } // namespace jacinthvale
--- a/tests/test_node_rewards.cpp
+++ b/tests/test_node_rewards.cpp
@@ -181,6 +181,23 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+TEST(node_rewards, endOfBatchCancelsRunningRewardCalls)
+{
+    node_simulation simulation(17);
+    simulation.run(kStartupTime);
+    const batch submitted = makeScoredBatch("b1", {5, 9, 3, 20});
+    setScorers(simulation, call_behaviour::hangs);
+    simulation.submitBatch(0, submitted);
+    const auto callsInProgress = [&] {
+        return simulation.upstream(kFirstScorer).calls + simulation.upstream(kSecondScorer).calls;
+    };
+    ASSERT_TRUE(simulation.runUntil([&] { return callsInProgress() >= 4; }, kLongTimeout));
+    simulation.endBatch(1, submitted.id);
+    // Less than the route's timeout, at which the calls would end by themselves.
+    simulation.run(milliseconds{1000});
+    EXPECT_EQ(callsInProgress(), 0U);
+}
+
 TEST(node_rewards, returningItemsKeepTheirCompleteTexts)
 {
     node_simulation simulation(8);
