--- a/tests/test_node_runtime.cpp
+++ b/tests/test_platform_runtime.cpp
@@ -1,4 +1,4 @@
-// The daemon's runtime on loopback sockets.
+// The daemon's runtime with the adapter of the platform, on loopback sockets.
 #include "node_pack.h"
 #include "node_runtime.h"
 #include "node_store_link.h"
@@ -87,7 +87,7 @@
 
 } // namespace
 
-TEST(node_runtime, peerThatHangsUpDoesNotAbandonTheCallOfAClient)
+TEST(platform_runtime, peerThatHangsUpDoesNotAbandonTheCallOfAClient)
 {
     // The store accepts connections and never answers, so that both requests stay open.
     test_socket silentStore;
