--- a/tests/test_node_rewards.cpp
+++ b/tests/test_node_rewards.cpp
@@ -33,6 +33,14 @@
     simulation.upstream(kSecondScorer).callBehaviour = behaviour;
 }
 
+/// @returns a later batch with the same items, as a trainer submits the groups that were not complete.
+batch resubmitted(batch first)
+{
+    first.id = {"b2"};
+    first.path = "/batch/b2";
+    return first;
+}
+
 /// @returns the phases of the items of an owned batch; empty if no daemon owns it.
 std::vector<item_phase> phasesOf(const node_simulation &simulation, const batch_id &id)
 {
@@ -53,6 +61,15 @@
     });
 }
 
+/// Runs a batch until all its texts wait for their scores, then ends it.
+void endWithUnscoredTexts(node_simulation &simulation, const batch &first)
+{
+    setScorers(simulation, call_behaviour::refuses);
+    simulation.submitBatch(0, first);
+    ASSERT_TRUE(simulation.runUntil([&] { return allTextsWait(simulation, first.id); }, kLongTimeout));
+    simulation.endBatch(0, first.id);
+}
+
 std::size_t countOutcome(const std::vector<item_result> &results, item_state state)
 {
     return static_cast<std::size_t>(std::ranges::count(results, state, &item_result::state));
@@ -203,15 +220,10 @@
     node_simulation simulation(8);
     simulation.run(kStartupTime);
     const batch first = makeScoredBatch("b1", {5, 9, 3, 20});
-    setScorers(simulation, call_behaviour::refuses);
-    simulation.submitBatch(0, first);
-    ASSERT_TRUE(simulation.runUntil([&] { return allTextsWait(simulation, first.id); }, kLongTimeout));
-    simulation.endBatch(0, first.id);
+    ASSERT_NO_FATAL_FAILURE(endWithUnscoredTexts(simulation, first));
     simulation.run(milliseconds{200});
     const std::size_t runs = simulation.runsStarted();
-    batch second = first;
-    second.id = {"b2"};
-    second.path = "/batch/b2";
+    const batch second = resubmitted(first);
     setScorers(simulation, call_behaviour::answers);
     simulation.submitBatch(1, second);
     ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(second); }, kLongTimeout));
@@ -224,16 +236,11 @@
     node_simulation simulation(9);
     simulation.run(kStartupTime);
     const batch first = makeScoredBatch("b1", {5, 9, 3, 20});
-    setScorers(simulation, call_behaviour::refuses);
-    simulation.submitBatch(0, first);
-    ASSERT_TRUE(simulation.runUntil([&] { return allTextsWait(simulation, first.id); }, kLongTimeout));
-    simulation.endBatch(0, first.id);
+    ASSERT_NO_FATAL_FAILURE(endWithUnscoredTexts(simulation, first));
     simulation.setNamedVersion("m0", 2);
     simulation.run(milliseconds{200});
     const std::size_t runs = simulation.runsStarted();
-    batch second = first;
-    second.id = {"b2"};
-    second.path = "/batch/b2";
+    batch second = resubmitted(first);
     second.minVersion = {2};
     setScorers(simulation, call_behaviour::answers);
     simulation.submitBatch(1, second);
