One predicate for items whose text is not complete

Cause: three places spelled the same pair or complement of phases; the functions of node_retained.cpp were declared under node_runs.cpp; two comments had lost their function; an include was unused.

Change: owned_item::isGenerating() serves checkpoint, reward queue and retained output; declarations and comments stand where they belong. Behaviour is unchanged.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -119,6 +119,9 @@
     /// Reward calls that the upstreams ran and answered with an error, since the first owner.
     unsigned rewardFailures = 0;
     instant nextRewardAt{};
+
+    /// True until the text is complete or the item is given up.
+    bool isGenerating() const { return phase == item_phase::waiting || phase == item_phase::running; }
 };
 
 /// Output of an item whose batch ended first; the trainer may submit the item again in a later batch.
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -165,7 +165,6 @@
     auto operator<=>(const batch_item &) const = default;
 
     /// Prompt tokens and reward call are stored in rows of their own, which older builds do not read.
-
     template <typename Archive>
     void serialize(Archive &archive)
     {
@@ -204,7 +203,6 @@
     auto operator<=>(const item_result &) const = default;
 
     /// The score is appended by encodeResult(), so that results without one keep their format.
-
     template <typename Archive>
     void serialize(Archive &archive)
     {
--- a/src/node_retained.cpp
+++ b/src/node_retained.cpp
@@ -39,8 +39,7 @@
     }
     for (const owned_item &item : batch.items) {
         const bool isCommitted = item.phase == item_phase::committed;
-        const bool isComplete = isCommitted || item.phase == item_phase::finished
-                                || item.phase == item_phase::unscored || item.phase == item_phase::scoring;
+        const bool isComplete = !item.isGenerating();
         const auto result = committed.find(item.item.id);
         const bool isLost = (isCommitted || item.phase == item_phase::finished)
                             && item.outcome != item_state::succeeded;
--- a/src/node_rewards.cpp
+++ b/src/node_rewards.cpp
@@ -3,7 +3,6 @@
 #include "node_step.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace jacinthvale::node {
 
@@ -78,8 +77,7 @@
         }
         std::map<std::string, std::size_t> incomplete;
         for (const owned_item &item : batch.items) {
-            incomplete[item.item.group]
-                    += item.phase == item_phase::waiting || item.phase == item_phase::running ? 1 : 0;
+            incomplete[item.item.group] += item.isGenerating() ? 1 : 0;
         }
         for (std::size_t index = 0; index < batch.items.size(); ++index) {
             const owned_item &item = batch.items[index];
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -150,10 +150,6 @@
 void finishItem(step &s, owned_batch &batch, std::size_t index, item_state outcome);
 void startRuns(step &s);
 void moveStragglers(step &s);
-/// Keeps the output of unlisted items of a batch that ended: they may return in a later batch.
-void retainOutputs(step &s, const owned_batch &batch);
-/// Sets retained output of items that return in this batch, if its weight versions fit.
-void reuseOutputs(step &s, owned_batch &batch);
 /// Marks an item whose text is complete: scored if it has a reward call, otherwise finished.
 void onTextComplete(step &s, owned_batch &batch, std::size_t index);
 void onRunProgress(step &s, const run_operation &operation, const run_progressed &progress);
@@ -161,6 +157,12 @@
 void stopRun(step &s, owned_item &item);
 void markSurplus(owned_batch &batch);
 
+// Output of items that return in a later batch (node_retained.cpp).
+/// Keeps the output of items in incomplete groups of a batch that ended: they may return in a later batch.
+void retainOutputs(step &s, const owned_batch &batch);
+/// Sets retained output of items that return in this batch, if its weight versions fit.
+void reuseOutputs(step &s, owned_batch &batch);
+
 // Reward calls of items with a complete text (node_rewards.cpp).
 /// Queues the reward call of an item whose text is complete.
 void queueReward(step &s, owned_item &item);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -34,9 +34,9 @@
         const bool complete
                 = item.phase == item_phase::unscored || item.phase == item_phase::scoring
                   || (item.phase == item_phase::finished && item.outcome == item_state::succeeded);
-        const bool unfinished = item.phase == item_phase::waiting || item.phase == item_phase::running;
         const bool started = item.chunkCount >= kMinCheckpointChunks || item.failures > 0;
-        if ((!complete && !(unfinished && started)) || bytes + item.text.size() > kMaxProgressBytes) {
+        if ((!complete && !(item.isGenerating() && started))
+            || bytes + item.text.size() > kMaxProgressBytes) {
             continue;
         }
         bytes += item.text.size();
