Upstreams that announce in an answer that they leave get no new work

Change: the head of each response of an upstream (call, stream, refusal, order, status report) is read; the announcement holds for that process of the upstream, until its table entry shows a later start. No call, hedge, run, reward call, status request or order follows; a load in progress is given up; runs go on. Other hosts learn of it from a row beside the next heartbeat, which older builds do not decode as a daemon; it is repeated until a heartbeat is committed. A 421 speaks of another server and is ignored, as is a damaged value. Operations sent before a restart was seen do not mark the new process.

Ruled out: an additional value in the daemon's row (older builds would lose the daemon); a mark in the upstream's view (lost when the row comes back after an outage).

--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -14,8 +14,9 @@
 /// Receives what becomes of one call. onFinished comes exactly once, unless the call is cancelled.
 struct http_call_listener
 {
-    /// Only for streamed calls.
+    /// Optional; receives the head of the response before anything else of it.
     std::function<void(int status, http_headers headers)> onHead;
+    /// Only for streamed calls.
     std::function<void(std::string bytes)> onChunk;
     std::function<void(http_call_finished)> onFinished;
 };
--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -214,8 +214,14 @@
     /// Smoothed duration of forwarded calls relative to the mean of their routes; 0 if unknown.
     double relativeCallDuration = 0;
     std::uint64_t rowVersion = 0;
+    /// Operations up to this one were sent to an earlier process with the same id.
+    op_id lastEarlierOp;
 };
 
+/// Upstream processes that announced in a response that they are leaving: the start time of each process, as
+/// in its table entry. A process that starts later under the same id is not affected.
+using leaving_upstreams = std::map<upstream_id, std::uint64_t>;
+
 /// Follows one table: reads it in full once, then its changes.
 struct table_feed
 {
@@ -435,6 +441,17 @@
                        release_operation, checkpoint_operation, run_operation, call_operation,
                        lease_operation, order_operation>;
 
+/// Leaving upstreams that this daemon tells the others, in a row beside its heartbeat.
+struct leaving_advertisement
+{
+    /// Announced to this daemon before any other daemon reported them.
+    leaving_upstreams upstreams;
+    /// The row has to be written with the next heartbeat.
+    bool changed = false;
+    /// The heartbeat in progress writes the row.
+    bool writing = false;
+};
+
 /// State of a daemon.
 struct node_state
 {
@@ -448,6 +465,9 @@
     route_table config;
     std::map<model_id, weight_version> namedVersions;
     std::map<upstream_id, upstream_view> upstreams;
+    /// Announced to this daemon or to any other one.
+    leaving_upstreams leavingUpstreams;
+    leaving_advertisement leavingAdvertisement;
     /// Removed upstreams, oldest first, with the table's version at the removal; sent to daemons that request
     /// an upstream_delta.
     std::deque<std::pair<std::uint64_t, upstream_id>> removedUpstreams;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -187,6 +187,14 @@
     std::map<model_id, weight_version> weights;
 };
 
+/// The head of a response says that the upstream process which sent it is leaving. Precedes the outcome of
+/// the operation.
+struct upstream_leave_announced
+{
+    op_id op;
+    upstream_id upstream;
+};
+
 /// Another daemon requests the changes of the table of upstreams after a version.
 struct upstream_delta_requested
 {
@@ -207,8 +215,8 @@
 using event = std::variant<started, tick, call_received, batch_received, page_requested, item_requested,
                            batch_end_requested, caller_disconnected, rows_received, history_expired,
                            rows_committed, rows_conflict, store_failed, run_progressed, run_ended, call_ended,
-                           upstream_status_received, upstream_delta_requested, upstream_delta_received,
-                           stop_requested>;
+                           upstream_status_received, upstream_leave_announced, upstream_delta_requested,
+                           upstream_delta_received, stop_requested>;
 
 // Effects.
 
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -202,6 +202,7 @@
         // the previous process may not apply to the new one.
         view = {};
         view.running = running;
+        view.lastEarlierOp = op_id{s.state.lastOp};
         s.log("upstream-restarted", id.value, toString(entry->address));
     }
     updateLastRow(view, *entry, change.row.version);
--- /dev/null
+++ b/src/node_leaving.cpp
@@ -0,0 +1,99 @@
+// Upstreams that announce in a response that they are leaving: they get no new work from this daemon from
+// then on, and the other daemons learn of it with the next heartbeat.
+#include "node_rows.h"
+#include "node_step.h"
+
+namespace jacinthvale::node {
+
+namespace {
+
+/// Number of announcements from which on those of upstreams that left the table are forgotten.
+constexpr std::size_t kMaxLeavingUpstreams = 2000;
+
+void forgetRemoved(const node_state &state, leaving_upstreams &leaving)
+{
+    std::erase_if(leaving, [&](const auto &entry) { return !state.upstreams.contains(entry.first); });
+}
+
+/// @returns true if the announcement was not known yet.
+bool recordLeaving(step &s, const upstream_id &id, std::uint64_t startedAtMs, const std::string &source)
+{
+    leaving_upstreams &leaving = s.state.leavingUpstreams;
+    if (leaving.size() >= kMaxLeavingUpstreams) {
+        forgetRemoved(s.state, leaving);
+    }
+    const auto [known, isNew] = leaving.try_emplace(id, startedAtMs);
+    if (!isNew && known->second >= startedAtMs) {
+        return false;
+    }
+    known->second = startedAtMs;
+    s.log("upstream-leaving", id.value,
+          source + ", process started at " + std::to_string(startedAtMs) + "; no new work");
+    dropOrder(s, id);
+    return true;
+}
+
+} // namespace
+
+bool isLeaving(const node_state &state, const upstream_view &view)
+{
+    if (view.entry.draining) {
+        return true;
+    }
+    const auto found = state.leavingUpstreams.find(view.entry.id);
+    return found != state.leavingUpstreams.end() && found->second == view.entry.startedAtMs;
+}
+
+void onUpstreamLeaveAnnounced(step &s, const upstream_leave_announced &announced)
+{
+    const auto view = s.state.upstreams.find(announced.upstream);
+    if (view == s.state.upstreams.end()) {
+        s.log("leave-ignored", announced.upstream.value, "the table does not list the upstream");
+        return;
+    }
+    if (announced.op <= view->second.lastEarlierOp) {
+        s.log("leave-ignored", announced.upstream.value, "the response came from an earlier process");
+        return;
+    }
+    const std::uint64_t startedAtMs = view->second.entry.startedAtMs;
+    if (recordLeaving(s, announced.upstream, startedAtMs, "announced in a response")) {
+        s.state.leavingAdvertisement.upstreams[announced.upstream] = startedAtMs;
+        s.state.leavingAdvertisement.changed = true;
+    }
+}
+
+std::optional<row_put> takeLeavingRow(step &s)
+{
+    leaving_advertisement &advertisement = s.state.leavingAdvertisement;
+    advertisement.writing = std::exchange(advertisement.changed, false);
+    if (!advertisement.writing) {
+        return std::nullopt;
+    }
+    forgetRemoved(s.state, advertisement.upstreams);
+    return row_put{table_id::daemons, leavingKey(s.state.self.host), encodeLeaving(advertisement.upstreams)};
+}
+
+void onLeavingRowWritten(step &s, bool committed)
+{
+    leaving_advertisement &advertisement = s.state.leavingAdvertisement;
+    if (std::exchange(advertisement.writing, false) && !committed) {
+        advertisement.changed = true;
+    }
+}
+
+void onLeavingRow(step &s, const row &received)
+{
+    if (received.removed || received.key.key == leavingKey(s.state.self.host)) {
+        return;
+    }
+    const auto advertised = decodeLeaving(received);
+    if (!advertised) {
+        s.log("leaving-row-unreadable", received.key.key, "its announcements are not applied");
+        return;
+    }
+    for (const auto &[id, startedAtMs] : *advertised) {
+        recordLeaving(s, id, startedAtMs, "reported in row " + received.key.key);
+    }
+}
+
+} // namespace jacinthvale::node
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -96,9 +96,9 @@
     return std::max(1U, static_cast<unsigned>(kBackgroundSlotShare * view.entry.slots));
 }
 
-bool isUsable(const upstream_view &view, const service_id &service, instant now)
+bool isUsable(const node_state &state, const upstream_view &view, const service_id &service, instant now)
 {
-    return view.entry.service == service && !view.entry.draining && view.ejectedUntil <= now;
+    return view.entry.service == service && !isLeaving(state, view) && view.ejectedUntil <= now;
 }
 
 } // namespace
@@ -179,7 +179,7 @@
     }
     std::vector<assignable_upstream> upstreams;
     for (const auto &[id, view] : state.upstreams) {
-        if (view.entry.service != service || view.entry.draining) {
+        if (view.entry.service != service || isLeaving(state, view)) {
             continue;
         }
         assignable_upstream candidate{id, {}};
@@ -267,9 +267,9 @@
     double bestCost = 0;
     bool bestIsAssigned = false;
     for (const auto &[id, view] : state.upstreams) {
-        if (!isUsable(view, request.service, now) || versionOf(view, request.model) < request.minVersion
-            || view.running >= view.entry.slots || isLoading(state, id, now)
-            || (request.requireFreshLatency && !isLatencyFresh(view, now))) {
+        if (!isUsable(state, view, request.service, now)
+            || versionOf(view, request.model) < request.minVersion || view.running >= view.entry.slots
+            || isLoading(state, id, now) || (request.requireFreshLatency && !isLatencyFresh(view, now))) {
             continue;
         }
         const auto assigned = request.snapshot->assignment.find(id);
@@ -344,7 +344,7 @@
     std::optional<upstream_id> best;
     double bestCost = 0;
     for (const auto &[id, view] : state.upstreams) {
-        if (!isUsable(view, service, now) || tried.contains(id)
+        if (!isUsable(state, view, service, now) || tried.contains(id)
             || (priority == call_priority::background && view.running >= backgroundSlots(view))) {
             continue;
         }
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -110,7 +110,7 @@
 /// Background calls leave slots of each upstream free for interactive ones.
 enum class call_priority : std::uint8_t { interactive, background };
 
-/// @returns the upstream for a forwarded call, except those in `tried`; none if all are ejected, draining or,
+/// @returns the upstream for a forwarded call, except those in `tried`; none if all are ejected, leaving or,
 /// for background calls, without a free slot in their share.
 std::optional<upstream_id> placeCall(const node_state &state, const service_id &service,
                                      const std::set<upstream_id> &tried, call_priority priority, instant now);
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -22,6 +22,15 @@
     milliseconds wait{0};
 };
 
+/// What the head of an upstream's response says about the process that sent it.
+enum class leave_notice : std::uint8_t {
+    none,
+    /// The process is leaving and wants no new requests.
+    leaving,
+    /// The notice is damaged.
+    malformed,
+};
+
 /// Decoded client request: an event for the reducer, or an immediate reply.
 using decoded_request = std::variant<event, reply_http>;
 
@@ -58,6 +67,8 @@
     virtual std::optional<event> decodeStore(const store_effect &operation, int status,
                                              const std::string &body, bool afterLostAnswer) const = 0;
 
+    /// Reads the notice from the head of any response of an upstream.
+    virtual leave_notice decodeLeaveNotice(int status, const http_headers &headers) const = 0;
     virtual call_http encodeRun(const run_item &run) const = 0;
     virtual std::unique_ptr<run_decoder> makeRunDecoder(const run_item &run) const = 0;
     virtual call_http encodeCall(const forward_call &forward) const = 0;
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -282,6 +282,9 @@
                             }
                         });
                     },
+                    [&](const upstream_leave_announced &announced) {
+                        onUpstreamLeaveAnnounced(s, announced);
+                    },
                     [&](const upstream_delta_requested &request) { onUpstreamDeltaRequested(s, request); },
                     [&](const upstream_delta_received &received) {
                         closeOperation(received.op, [&](const operation_purpose &) {
--- a/src/node_rewards.cpp
+++ b/src/node_rewards.cpp
@@ -48,7 +48,7 @@
     unsigned slots = 0;
     for (const auto &[id, view] : state.upstreams) {
         const bool isEngine = state.config.engines.contains(view.entry.service);
-        slots += isEngine || view.entry.draining ? 0 : view.entry.slots;
+        slots += isEngine || isLeaving(state, view) ? 0 : view.entry.slots;
     }
     const double share
             = kFleetRewardShare * slots / static_cast<double>(std::max<std::size_t>(1, owners.size()));
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -15,6 +15,9 @@
 /// Format of progress rows with complete texts and of result rows with a score; format 1 has neither.
 constexpr std::uint8_t kScoredFormat = 2;
 
+/// Ends the key of a row that advertises leaving upstreams. Names of hosts contain no slash.
+constexpr const char *kLeavingKeySuffix = "/leaving-upstreams";
+
 /// Fields of a batch_item that its row lacks.
 struct item_extension
 {
@@ -269,6 +272,27 @@
     return daemon;
 }
 
+std::string leavingKey(const host_id &host)
+{
+    return host.value + kLeavingKeySuffix;
+}
+
+bool isLeavingKey(const std::string &key)
+{
+    return key.ends_with(kLeavingKeySuffix);
+}
+
+std::string encodeLeaving(const leaving_upstreams &upstreams)
+{
+    return pack(upstreams);
+}
+
+std::optional<leaving_upstreams> decodeLeaving(const row &source)
+{
+    leaving_upstreams upstreams;
+    return unpack(source.value, upstreams) ? std::optional(std::move(upstreams)) : std::nullopt;
+}
+
 std::string encodeLease(const lease_row &lease)
 {
     return pack(lease.holder.value, lease.incarnation.value, lease.epoch.value, lease.released, lease.planned,
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -85,6 +85,13 @@
 std::string encodeMember(const member &daemon);
 std::optional<member> decodeMember(const row &source);
 
+/// Key of the row in which a daemon advertises leaving upstreams. It has a row of its own, because older
+/// builds reject additional values in the row of a daemon.
+std::string leavingKey(const host_id &host);
+bool isLeavingKey(const std::string &key);
+std::string encodeLeaving(const leaving_upstreams &upstreams);
+std::optional<leaving_upstreams> decodeLeaving(const row &source);
+
 /// Row of the weights lease.
 struct lease_row
 {
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -72,27 +72,27 @@
     void operator()(const forward_call &forward) const
     {
         const op_id op = forward.op;
-        self.startCall(op, self.m_port->encodeCall(forward),
-                       [runtime = &self, op](const http_call_finished &f) {
-                           return runtime->m_port->decodeCall(op, f);
-                       });
+        self.startUpstreamCall(op, forward.upstream, self.m_port->encodeCall(forward),
+                               [runtime = &self, op](const http_call_finished &f) {
+                                   return runtime->m_port->decodeCall(op, f);
+                               });
     }
     void operator()(const cancel_call &cancelled) const { self.cancel(cancelled.op); }
     void operator()(const request_upstream_status &query) const
     {
         const op_id op = query.op;
-        self.startCall(op, self.m_port->encodeStatusRequest(query),
-                       [runtime = &self, op](const http_call_finished &f) {
-                           return runtime->m_port->decodeStatusReport(op, f);
-                       });
+        self.startUpstreamCall(op, query.upstream, self.m_port->encodeStatusRequest(query),
+                               [runtime = &self, op](const http_call_finished &f) {
+                                   return runtime->m_port->decodeStatusReport(op, f);
+                               });
     }
     void operator()(const order_weights &order) const
     {
         const op_id op = order.op;
-        self.startCall(op, self.m_port->encodeOrder(order),
-                       [runtime = &self, op](const http_call_finished &f) {
-                           return runtime->m_port->decodeOrder(op, f);
-                       });
+        self.startUpstreamCall(op, order.upstream, self.m_port->encodeOrder(order),
+                               [runtime = &self, op](const http_call_finished &f) {
+                                   return runtime->m_port->decodeOrder(op, f);
+                               });
     }
     void operator()(const request_upstream_delta &request) const
     {
@@ -349,7 +349,10 @@
     run_decoder *decoder = running.decoder.get();
     running.handle = m_client->start(
             m_port->encodeRun(run),
-            {[decoder](int status, const http_headers &headers) { decoder->onResponseHead(status, headers); },
+            {[this, op, decoder, upstream = run.upstream](int status, const http_headers &headers) {
+                 readLeaveNotice(op, upstream, status, headers);
+                 decoder->onResponseHead(status, headers);
+             },
              [this, op, decoder](const std::string &bytes) {
                  auto chunks = decoder->onBodyBytes(bytes);
                  if (!chunks.empty()) {
@@ -372,6 +375,37 @@
                    }});
 }
 
+void node_runtime::startUpstreamCall(op_id op, const upstream_id &upstream, const call_http &call,
+                                     std::function<event(http_call_finished)> decode)
+{
+    running_call &running = m_calls[op];
+    running.handle = m_client->start(
+            call, {[this, op, upstream](int status, const http_headers &headers) {
+                       readLeaveNotice(op, upstream, status, headers);
+                   },
+                   {},
+                   [this, op, decode = std::move(decode)](const http_call_finished &finished) {
+                       post(decode(finished));
+                       m_calls.erase(op);
+                   }});
+}
+
+void node_runtime::readLeaveNotice(op_id op, const upstream_id &upstream, int status,
+                                   const http_headers &headers)
+{
+    switch (m_port->decodeLeaveNotice(status, headers)) {
+    case leave_notice::none:
+        break;
+    case leave_notice::leaving:
+        post(upstream_leave_announced{op, upstream});
+        break;
+    case leave_notice::malformed:
+        writeLog(
+                {"leave-notice-unreadable", upstream.value, "ignored; the next response repeats the notice"});
+        break;
+    }
+}
+
 void node_runtime::cancel(op_id op)
 {
     const auto found = m_calls.find(op);
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -52,6 +52,10 @@
     void startStore(const store_effect &operation, milliseconds deadline);
     void startRun(const run_item &run);
     void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode);
+    /// Starts a call to an upstream, which may announce in the head of its response that it is leaving.
+    void startUpstreamCall(op_id op, const upstream_id &upstream, const call_http &call,
+                           std::function<event(http_call_finished)> decode);
+    void readLeaveNotice(op_id op, const upstream_id &upstream, int status, const http_headers &headers);
     void cancel(op_id op);
     void writeLog(const log_decision &entry);
     /// Ends the event loop once all replies are sent, or when the stop grace time is over; until then it
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -99,6 +99,18 @@
 milliseconds takeoverDelay(const node_state &state, const model_id &model, instant now);
 void updateReadiness(step &s);
 
+// Upstreams that announce that they are leaving (node_leaving.cpp).
+/// True if the upstream gets no new work because it is leaving, by its table entry or by its announcement.
+bool isLeaving(const node_state &state, const upstream_view &view);
+void onUpstreamLeaveAnnounced(step &s, const upstream_leave_announced &announced);
+/// Row that tells other daemons of leaving upstreams, for the heartbeat that is about to be sent; none if it
+/// has not changed.
+std::optional<row_put> takeLeavingRow(step &s);
+/// The heartbeat in progress ended. @param committed its rows were written.
+void onLeavingRowWritten(step &s, bool committed);
+/// Applies the row of another daemon.
+void onLeavingRow(step &s, const row &received);
+
 // Batches: accept, commit results, end (node_batches.cpp), read results (node_pages.cpp), take over
 // (node_takeover.cpp).
 void onBatchReceived(step &s, const batch_received &request);
@@ -197,6 +209,9 @@
 void onUpstreamStatus(step &s, const order_operation &operation, const upstream_status_received &report);
 void onOrderEnded(step &s, const order_operation &operation, const call_ended &end);
 
+/// Drops the order to load weights on an upstream, if there is one.
+void dropOrder(step &s, const upstream_id &id);
+
 /// Excludes an upstream from new work for a while, after a failed request.
 void ejectUpstream(step &s, const upstream_id &id, milliseconds duration, const std::string &reason);
 
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -98,14 +98,19 @@
                        kRenewDeadline});
 }
 
-/// Cancels all status requests and orders in progress; upstreams may still carry out the orders.
+/// Cancels the status request or order in progress; the upstream may still carry out the order.
+void cancelOrder(step &s, const running_order &order)
+{
+    if (order.op.value != 0) {
+        s.emit(cancel_call{order.op});
+        s.state.ops.erase(order.op);
+    }
+}
+
 void dropOrders(step &s)
 {
     for (const auto &[id, order] : s.state.weightsLeader.orders) {
-        if (order.op.value != 0) {
-            s.emit(cancel_call{order.op});
-            s.state.ops.erase(order.op);
-        }
+        cancelOrder(s, order);
     }
     s.state.weightsLeader.orders.clear();
 }
@@ -262,6 +267,15 @@
 
 } // namespace
 
+void dropOrder(step &s, const upstream_id &id)
+{
+    const auto dropped = s.state.weightsLeader.orders.extract(id);
+    if (!dropped.empty()) {
+        cancelOrder(s, dropped.mapped());
+        s.log("order-dropped", id.value, "the upstream is leaving");
+    }
+}
+
 void runWeightsLeader(step &s)
 {
     weights_leader &lease = s.state.weightsLeader;
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -32,6 +32,10 @@
     node::upstream_entry entry;
     milliseconds interChunkLatency{40};
     bool up = true;
+    /// Announces in each response that it is leaving; its row does not tell.
+    bool announcesLeave = false;
+    /// Daemons, with their generation, that received the announcement.
+    std::set<std::pair<std::size_t, std::uint64_t>> announcedTo;
     /// False when its row is deleted from the table of upstreams.
     bool registered = true;
     /// Number of accepted weight orders.
@@ -199,6 +203,13 @@
     void forwardCall(std::size_t daemon, const node::forward_call &request);
     void answerForwardedCall(std::size_t daemon, const node::forward_call &request);
     void cancelForwardedCall(std::size_t daemon, node::op_id op);
+    /// The head of a response reaches a daemon, or will once the daemon is not suspended.
+    void deliverHead(std::size_t daemon, std::uint64_t generation, node::op_id op,
+                     const upstream_id &upstream);
+    /// The upstream responds soon; until then it has only read the request.
+    void scheduleHead(std::size_t daemon, node::op_id op, const upstream_id &upstream);
+    /// Checks that a request is not sent after the upstream announced to this daemon that it is leaving.
+    void checkNotLeaving(std::size_t daemon, const upstream_id &upstream, const std::string &request);
     void checkRewardCall(const node::forward_call &request);
     void checkScore(const node::item_result &result);
     void orderWeights(std::size_t daemon, const node::order_weights &request);
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds kUpstreamHeartbeatInterval{1200};
 constexpr milliseconds kLoadTime{900};
+/// Time until the head of a response arrives.
+constexpr milliseconds kHeadLatency{1};
 /// Time after the end of a batch within which the daemons must stop its work.
 constexpr milliseconds kCancelTime{3000};
 
@@ -28,8 +30,39 @@
     return found == m_upstreams.end() ? nullptr : &*found;
 }
 
+void node_simulation::deliverHead(std::size_t daemon, std::uint64_t generation, op_id op,
+                                  const upstream_id &upstream)
+{
+    simulated_upstream *target = findUpstream(upstream);
+    const simulated_process &receiver = m_daemons.at(daemon);
+    if (!target->announcesLeave || receiver.generation != generation) {
+        return;
+    }
+    if (receiver.frozenUntil > m_now) {
+        schedule(receiver.frozenUntil, [=, this] { deliverHead(daemon, generation, op, upstream); });
+        return;
+    }
+    target->announcedTo.emplace(daemon, generation);
+    deliver(daemon, generation, upstream_leave_announced{op, upstream});
+}
+
+void node_simulation::scheduleHead(std::size_t daemon, op_id op, const upstream_id &upstream)
+{
+    const std::uint64_t generation = m_daemons.at(daemon).generation;
+    schedule(m_now + kHeadLatency, [=, this] { deliverHead(daemon, generation, op, upstream); });
+}
+
+void node_simulation::checkNotLeaving(std::size_t daemon, const upstream_id &upstream,
+                                      const std::string &request)
+{
+    if (findUpstream(upstream)->announcedTo.contains({daemon, m_daemons.at(daemon).generation})) {
+        addViolation(request + " was sent to " + upstream.value + ", which had announced that it is leaving");
+    }
+}
+
 void node_simulation::startRun(std::size_t daemon, const run_item &request)
 {
+    checkNotLeaving(daemon, request.upstream, "run of " + request.item.id.value);
     ++m_runsStarted;
     ++m_runsPerUpstream[request.upstream];
     simulated_upstream *target = findUpstream(request.upstream);
@@ -40,6 +73,7 @@
     ++target->running;
     target->maxRunning = std::max(target->maxRunning, target->running);
     m_runs[{daemon, request.op}] = {request, request.after};
+    scheduleHead(daemon, request.op, request.upstream);
     const std::uint64_t generation = m_daemons.at(daemon).generation;
     schedule(m_now + target->interChunkLatency, [=, this] { produceChunk(daemon, request.op, generation); });
 }
@@ -94,8 +128,12 @@
 void node_simulation::forwardCall(std::size_t daemon, const forward_call &request)
 {
     ++m_runsPerUpstream[request.upstream];
+    checkNotLeaving(daemon, request.upstream, "call " + request.call.id.value);
     checkRewardCall(request);
     simulated_upstream *target = findUpstream(request.upstream);
+    if (target->up && target->callBehaviour == call_behaviour::refuses) {
+        scheduleHead(daemon, request.op, request.upstream);
+    }
     if (!target->up || target->callBehaviour == call_behaviour::refuses) {
         deliverAfter(daemon, milliseconds{2}, call_ended{request.op, call_end::not_run, 0, {}, {}});
         return;
@@ -122,6 +160,7 @@
         deliver(daemon, generation, call_ended{request.op, call_end::incomplete, 0, {}, {}});
         return;
     }
+    deliverHead(daemon, generation, request.op, request.upstream);
     if (target->callBehaviour == call_behaviour::fails || m_failingCalls.contains(request.call.id.value)) {
         deliver(daemon, generation, call_ended{request.op, call_end::failed, 500, {}, {}});
         return;
@@ -178,6 +217,8 @@
 
 void node_simulation::reportStatus(std::size_t daemon, const request_upstream_status &request)
 {
+    checkNotLeaving(daemon, request.upstream, "status request");
+    scheduleHead(daemon, request.op, request.upstream);
     const simulated_upstream *target = findUpstream(request.upstream);
     upstream_status_received reported;
     reported.op = request.op;
@@ -191,6 +232,8 @@
 void node_simulation::orderWeights(std::size_t daemon, const order_weights &request)
 {
     ++m_ordersSent;
+    checkNotLeaving(daemon, request.upstream, "order");
+    scheduleHead(daemon, request.op, request.upstream);
     simulated_upstream *target = findUpstream(request.upstream);
     if (!target->lastOrderBy.empty() && target->lastOrderBy != request.holder
         && m_now - target->lastOrderAt < kSimulationLeaseTime) {
@@ -265,6 +308,8 @@
     target.busyUntil = {};
     target.lastFencing = 0;
     target.entry.startedAtMs += 1000;
+    target.announcesLeave = false;
+    target.announcedTo.clear();
 }
 
 } // namespace jacinthvale::test
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -315,4 +315,22 @@
     EXPECT_FALSE(page["results"][1].contains("score"));
 }
 
+// Announcements of upstreams that they are leaving, in the head of any response.
+TEST(platform_wire, readsTheAnnouncementOfALeavingUpstreamInAnyResponse)
+{
+    const auto noticeOf = [](int status, const http_headers &headers) {
+        return platform::decodeLeaveNotice(status, headers);
+    };
+    for (const int status : {200, 202, 409, 422, 429, 500, 503, 504}) {
+        EXPECT_EQ(noticeOf(status, {{platform::kLeavingHeader, "1"}}), leave_notice::leaving) << status;
+        EXPECT_EQ(noticeOf(status, {}), leave_notice::none) << status;
+    }
+    EXPECT_EQ(noticeOf(200, {{"server-leaving", "1"}}), leave_notice::leaving);
+    // Another upstream has the address; it speaks of itself.
+    EXPECT_EQ(noticeOf(421, {{platform::kLeavingHeader, "1"}}), leave_notice::none);
+    for (const char *value : {"", "0", "11", "1\x01", "true"}) {
+        EXPECT_EQ(noticeOf(200, {{platform::kLeavingHeader, value}}), leave_notice::malformed) << value;
+    }
+}
+
 } // namespace jacinthvale
