An idle connection with unread bytes is not used again

A server sends a second copy of an answer, late, on a connection that is in use again. evhttp drops such bytes only if its loop reads them while the connection is idle. Bytes that arrived between the last turn of the loop and the next call were read as the answer to that call.

Shown: idleConnectionWithUnreadBytesIsNotUsedAgain got "one" instead of "two" without the check. Calls with an id were not answered wrongly before, but failed; status requests and orders, which have none, were open to it.

Ruled out as other ways in: the copy in one packet with the first answer, on the idle connection, after the next request, and split around it; the connection was dropped or the other id rejected in all four (secondCopyOfAnAnswerNeverAnswersAnotherCall passed before the change).

Change: a connection is taken from the pool only if neither its buffer nor its socket holds bytes or an end. Calls may learn the head of an answer also where they are not streamed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace jacinthvale {
@@ -164,12 +165,25 @@
             evhttp_connection_free(idle.front().connection);
             idle.pop_front();
         }
-        if (idle.empty()) {
-            return connect(target);
+        while (!idle.empty()) {
+            evhttp_connection *connection = idle.back().connection;
+            idle.pop_back();
+            if (!hasUnreadInput(connection)) {
+                return connection;
+            }
+            evhttp_connection_free(connection);
         }
-        evhttp_connection *connection = idle.back().connection;
-        idle.pop_back();
-        return connection;
+        return connect(target);
+    }
+
+    /// True if the peer of an idle connection sent bytes or closed it. The bytes are part of no response that
+    /// was asked for, such as a second copy of the last one; the next response would begin with them.
+    static bool hasUnreadInput(evhttp_connection *connection)
+    {
+        const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        char byte = 0;
+        return evbuffer_get_length(inputOf(connection)) > 0
+               || (socket >= 0 && recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0);
     }
 
     void giveBack(const endpoint &target, evhttp_connection *connection)
@@ -224,7 +238,7 @@
                 return -1;
             }
         }
-        if (running->call.streamed) {
+        if (running->listener.onHead) {
             running->listener.onHead(evhttp_request_get_response_code(request), readHeaders(request));
         }
         return 0;
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -84,6 +84,15 @@
     endpoint where() const { return {"127.0.0.1", m_port}; }
     int connections() const { return m_connections; }
 
+    /// Writes to the sockets at once, without the event loop.
+    void writeToAll(const std::string &bytes) const
+    {
+        for (bufferevent *connection : m_open) {
+            EXPECT_EQ(::send(bufferevent_getfd(connection), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                      static_cast<ssize_t>(bytes.size()));
+        }
+    }
+
     void close(bufferevent *connection)
     {
         m_open.erase(connection);
@@ -336,6 +345,132 @@
     EXPECT_EQ(call.finished->body, std::string(6 * 1024 * 1024, 'a'));
 }
 
+TEST(http_client, reportsTheHeadOfEveryResponse)
+{
+    const test_loop loop;
+    raw_server server(loop.base(), [&](bufferevent *connection, const std::string &) {
+        bufferevent_write(connection, kKeepAliveAnswer, strlen(kKeepAliveAnswer));
+    });
+    http_client client(loop.base());
+    watched_call call;
+    http_call_listener listener = call.listener();
+    int status = 0;
+    listener.onHead = [&](int received, const http_headers &) { status = received; };
+    client.start(makeCall(server.where()), std::move(listener));
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+    EXPECT_EQ(status, 200);
+}
+
+namespace {
+
+/// Answer to the request with an id, which the body repeats.
+std::string answerWithId(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(id.size()) + "\r\nX-Id: " + id + "\r\n\r\n"
+           + id;
+}
+
+/// Server whose connections get a second copy of the answer to the first request at some time.
+enum class copy_time { with_the_first, while_idle, after_the_next_request, split_around_the_next_request };
+
+class copying_server
+{
+public:
+    copying_server(event_base *base, copy_time when)
+        : m_when(when)
+        , m_server(base, [this](bufferevent *connection, const std::string &) { onRequest(connection); })
+    {}
+    raw_server &server() { return m_server; }
+    /// Sends the copy on the idle connection.
+    void sendCopy() { write(m_first, answerWithId("one")); }
+
+private:
+    static void write(bufferevent *connection, const std::string &bytes)
+    {
+        bufferevent_write(connection, bytes.data(), bytes.size());
+    }
+    void onRequest(bufferevent *connection)
+    {
+        const std::string first = answerWithId("one");
+        if (++m_requests == 1) {
+            m_first = connection;
+            write(connection, first);
+            if (m_when == copy_time::with_the_first) {
+                write(connection, first);
+            } else if (m_when == copy_time::split_around_the_next_request) {
+                write(connection, first.substr(0, 9));
+            }
+            return;
+        }
+        const bool isReused = connection == m_first;
+        if (isReused && m_when == copy_time::after_the_next_request) {
+            write(connection, first);
+        } else if (isReused && m_when == copy_time::split_around_the_next_request) {
+            write(connection, first.substr(9));
+        }
+        write(connection, answerWithId("two"));
+    }
+
+    copy_time m_when;
+    int m_requests = 0;
+    bufferevent *m_first = nullptr;
+    raw_server m_server;
+};
+
+} // namespace
+
+// A server sends a second copy of an answer, late, on a connection that is in use again. The next call fails
+// or gets its own answer, never the other one.
+TEST(http_client, secondCopyOfAnAnswerNeverAnswersAnotherCall)
+{
+    for (const copy_time when :
+         {copy_time::with_the_first, copy_time::while_idle, copy_time::after_the_next_request,
+          copy_time::split_around_the_next_request}) {
+        const test_loop loop;
+        copying_server copying(loop.base(), when);
+        http_client client(loop.base());
+        const auto start = [&](watched_call &call, const std::string &id) {
+            call_http request = makeCall(copying.server().where());
+            request.echo = {"X-Id", id};
+            client.start(request, call.listener());
+        };
+        watched_call first;
+        start(first, "one");
+        ASSERT_TRUE(loop.runUntil([&] { return first.finished.has_value(); }));
+        EXPECT_EQ(first.finished->body, "one");
+        if (when == copy_time::while_idle) {
+            copying.sendCopy();
+        }
+        watched_call second;
+        start(second, "two");
+        ASSERT_TRUE(loop.runUntil([&] { return second.finished.has_value(); }));
+        EXPECT_TRUE(second.finished->outcome != transfer_outcome::complete || second.finished->body == "two")
+                << static_cast<int>(when) << ": " << second.finished->body;
+    }
+}
+
+// Bytes that are already in the socket when an idle connection is taken belong to no call, with an id or
+// without.
+TEST(http_client, idleConnectionWithUnreadBytesIsNotUsedAgain)
+{
+    const test_loop loop;
+    int requests = 0;
+    raw_server server(loop.base(), [&](bufferevent *connection, const std::string &) {
+        const std::string answer = answerWithId(++requests == 1 ? "one" : "two");
+        bufferevent_write(connection, answer.data(), answer.size());
+    });
+    http_client client(loop.base());
+    watched_call first;
+    client.start(makeCall(server.where()), first.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return first.finished.has_value(); }));
+    server.writeToAll(answerWithId("one"));
+    watched_call second;
+    client.start(makeCall(server.where()), second.listener());
+    ASSERT_TRUE(loop.runUntil([&] { return second.finished.has_value(); }));
+    EXPECT_EQ(second.finished->body, "two");
+    EXPECT_EQ(server.connections(), 2);
+}
+
 TEST(http_server, refusesWhatIsMalformedAndGoesOn)
 {
     const test_loop loop;
