jvctl steps: where the time of each training step went

Change: the owner of a batch writes one step-timeline line when it drops the batch: the group that completed the step, its last item, and what that item spent in each of ten stages, which add up to the time from the start of the ownership to the commit; beside it the capacity of the upstreams and the lengths from which the shortest possible time follows. Pages that return results are logged, batch-accepted says how long ago the batch arrived, and every line bears the store's clock, which all hosts share. jvctl steps reads logs in any order and prints a table, JSON or a page with lanes; garbled, repeated and missing lines are counted or named.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <jacinthvale/node_event.h>
+#include <jacinthvale/node_timeline.h>
 
 #include <deque>
 
@@ -105,9 +106,12 @@
     op_id run;
     upstream_id upstream;
     instant startedAt{};
-    /// Start of the first run under this owner, and the end of the item; used only for the log.
+    /// Start of the first run under this owner, end of the item, and commit of its result; used only for the
+    /// log, as is the timeline.
     instant firstStartedAt{};
     instant finishedAt{};
+    instant committedAt{};
+    item_timeline timeline;
     instant lastChunkAt{};
     std::uint64_t chunkCountAtStart = 0;
     /// Tokens reserved at the upstream for this run.
@@ -171,6 +175,7 @@
     batch spec;
     std::vector<exchange_id> exchanges;
     std::string ownHeadValue;
+    instant receivedAt{};
 };
 
 /// A batch that this process takes over, while its rows are read.
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -391,6 +391,9 @@
     std::vector<endpoint> peers;
 };
 
+/// Named values of a log line, for programs that read the log.
+using log_fields = std::vector<std::pair<std::string, std::variant<std::int64_t, std::string>>>;
+
 /// One structured log line.
 struct log_decision
 {
@@ -399,6 +402,7 @@
     /// Id of the request, batch, item, upstream or lease.
     std::string subject;
     std::string detail;
+    log_fields fields = {};
 };
 
 struct count
--- a/src/ctl_commands.cpp
+++ b/src/ctl_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "ctl_change.h"
 #include "ctl_output.h"
+#include "ctl_steps.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <iostream>
 
@@ -341,4 +343,32 @@
     return found->run(client, request);
 }
 
+ctl_exit runStepsCommand(const ctl_steps_request &request)
+{
+    if (request.logs.empty()) {
+        std::cerr << "steps: name at least one log file\n";
+        return ctl_exit::usage;
+    }
+    step_log_reader reader;
+    for (const std::string &name : request.logs) {
+        std::ifstream log(name);
+        if (!log) {
+            std::cerr << "steps: cannot open " << name << '\n';
+            return ctl_exit::failed;
+        }
+        reader.read(log);
+    }
+    const step_report report = reader.makeReport();
+    if (!request.plotFile.empty()) {
+        std::ofstream page(request.plotFile);
+        page << renderStepsPage(report);
+        if (!page.flush()) {
+            std::cerr << "steps: cannot write " << request.plotFile << '\n';
+            return ctl_exit::failed;
+        }
+    }
+    std::cout << (request.json ? stepsToJson(report).dump() + "\n" : renderSteps(report));
+    return ctl_exit::done;
+}
+
 } // namespace jacinthvale
--- a/src/ctl_commands.h
+++ b/src/ctl_commands.h
@@ -44,6 +44,18 @@
 /// Runs one command; prints to std::cout and std::cerr.
 ctl_exit runCommand(const ctl_request &request);
 
+/// Arguments of the command that reports training steps from log files.
+struct ctl_steps_request
+{
+    std::vector<std::string> logs;
+    bool json = false;
+    /// File to which a page with a plot is written; empty for none.
+    std::string plotFile;
+};
+
+/// Reports training steps; calls no daemon. Prints to std::cout and std::cerr.
+ctl_exit runStepsCommand(const ctl_steps_request &request);
+
 /// Reads "field=value,..." into the fields of a scope. @returns an empty object and a problem where it is
 /// wrong.
 nlohmann::json parseScope(const std::string &text, std::string &problem);
--- a/src/ctl_main.cpp
+++ b/src/ctl_main.cpp
@@ -24,6 +24,7 @@
   status
   upstream drain UPSTREAM       --reason TEXT
   timeline                      [--id ID]
+  steps LOG...                  [--plot FILE]  where the time of each training step went, from logs of jvnode
 Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 unknown.
 )";
 
@@ -51,8 +52,9 @@
             "timeout-ms", "longest wait for one answer",
             cxxopts::value<std::int64_t>()->default_value("8000"))("id", "only entries of this subject",
                                                                    cxxopts::value<std::string>())(
-            "alone", "commit although the daemon hears no peer")("help", "print this text")(
-            "command", "command", cxxopts::value<std::vector<std::string>>());
+            "plot", "write a page with a lane for each model",
+            cxxopts::value<std::string>())("alone", "commit although the daemon hears no peer")(
+            "help", "print this text")("command", "command", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"command"});
     return options;
 }
@@ -115,15 +117,19 @@
         return static_cast<int>(ctl_exit::done);
     }
     ctl_request request;
+    if (parsed.count("command") > 0) {
+        request.words = parsed["command"].as<std::vector<std::string>>();
+    }
+    request.json = parsed.count("json") > 0;
+    if (!request.words.empty() && request.words.front() == "steps") {
+        const std::vector<std::string> logs(request.words.begin() + 1, request.words.end());
+        return static_cast<int>(runStepsCommand({logs, request.json, textOf(parsed, "plot")}));
+    }
     const std::string daemons = listOf(parsed, "daemons");
     if (!readDaemons(daemons.empty() ? environment("JACINTHVALE_DAEMONS") : daemons, request)
         || !readToken(parsed, request)) {
         return static_cast<int>(ctl_exit::usage);
     }
-    if (parsed.count("command") > 0) {
-        request.words = parsed["command"].as<std::vector<std::string>>();
-    }
-    request.json = parsed.count("json") > 0;
     request.alone = parsed.count("alone") > 0;
     request.reason = textOf(parsed, "reason");
     request.changeId = textOf(parsed, "change-id");
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -93,6 +93,9 @@
 {
     const batch_id id = batch.spec.id;
     batch.ownedAt = s.ctx.now;
+    for (owned_item &item : batch.items) {
+        item.timeline.enter(item.timeline.stage(), s.ctx.now);
+    }
     markSurplus(batch);
     reuseOutputs(s, batch);
     owned_batch &adopted = s.state.owned.insert_or_assign(id, std::move(batch)).first->second;
@@ -151,7 +154,7 @@
     for (std::size_t i = 0; i < extensions.size(); ++i) {
         commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
     }
-    state.pending[id] = {received.spec, {received.exchange}, headValue};
+    state.pending[id] = {received.spec, {received.exchange}, headValue, s.ctx.now};
     s.emit(std::move(commit));
 }
 
@@ -168,7 +171,10 @@
                                    false});
     s.log("batch-accepted", id.value,
           "items " + std::to_string(head.total) + ", step " + std::to_string(head.spec.step) + ", model "
-                  + head.spec.model.value);
+                  + head.spec.model.value,
+          {{"model", head.spec.model.value},
+           {"step", static_cast<std::int64_t>(head.spec.step)},
+           {"receivedAgoMs", (s.ctx.now - accepted.receivedAt).count()}});
     answerPendingExchanges(s, id, [&](exchange_id exchange) { s.emit(accept_batch{exchange}); });
     const std::uint64_t acceptedAtMs = head.acceptedAtMs;
     batch_head &cached = s.state.heads[id];
@@ -283,6 +289,7 @@
     }
     owned_batch &batch = found->second;
     logSlowest(s, batch);
+    logStepTimeline(s, batch);
     const auto uncommitted = std::ranges::count_if(
             batch.items, [](const owned_item &item) { return item.phase != item_phase::committed; });
     for (std::size_t index = 0; index < batch.items.size(); ++index) {
@@ -356,6 +363,8 @@
     for (const std::size_t index : batch.committing) {
         owned_item &item = batch.items[index];
         item.phase = item_phase::committed;
+        item.committedAt = s.ctx.now;
+        item.timeline.enter(item_stage::commit, s.ctx.now);
         batch.committedResults.push_back(resultOf(item));
         item.text.clear();
     }
--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -32,6 +32,18 @@
     return results;
 }
 
+/// Answers a reader and logs which results it got.
+void answerPage(step &s, const batch_id &id, answer_page answer)
+{
+    if (!answer.results.empty()) {
+        s.log("page-answered", id.value, {},
+              {{"after", static_cast<std::int64_t>(answer.after)},
+               {"count", static_cast<std::int64_t>(answer.results.size())},
+               {"total", static_cast<std::int64_t>(answer.total)}});
+    }
+    s.emit(std::move(answer));
+}
+
 /// Answers a reader from an owned batch. @returns false if the reader has to wait for further results.
 bool answerReader(step &s, owned_batch &batch, const waiting_reader &reader)
 {
@@ -44,7 +56,8 @@
         results.assign(batch.committedResults.begin() + static_cast<std::ptrdiff_t>(reader.after),
                        batch.committedResults.end());
     }
-    s.emit(answer_page{reader.exchange, batch.items.size(), reader.after, cutToPage(std::move(results))});
+    answerPage(s, batch.spec.id,
+               {reader.exchange, batch.items.size(), reader.after, cutToPage(std::move(results))});
     return true;
 }
 
@@ -116,7 +129,7 @@
         page.nextAt = s.ctx.now + kPagePollInterval;
         return;
     }
-    s.emit(answer_page{page.exchange, total, page.after, cutToPage(std::move(results))});
+    answerPage(s, page.batch, {page.exchange, total, page.after, cutToPage(std::move(results))});
     s.state.pages.erase(found);
 }
 
--- a/src/node_rewards.cpp
+++ b/src/node_rewards.cpp
@@ -106,6 +106,7 @@
     call.repeatable = true;
     call.failures = item.rewardFailures;
     item.phase = item_phase::scoring;
+    item.timeline.enter(item_stage::scoring, s.ctx.now);
     startCall(s, origin, std::move(call));
 }
 
@@ -115,6 +116,7 @@
 {
     item.phase = item_phase::unscored;
     item.nextRewardAt = s.ctx.now;
+    item.timeline.enter(item_stage::scorer_wait, s.ctx.now);
 }
 
 void startRewards(step &s)
@@ -160,6 +162,7 @@
     if (item.phase == item_phase::scoring) {
         cancelCall(s, reward_origin{batch, index});
         item.phase = item_phase::unscored;
+        item.timeline.enter(item_stage::scorer_wait, s.ctx.now);
     }
 }
 
@@ -201,6 +204,7 @@
         return;
     }
     item->phase = item_phase::unscored;
+    item->timeline.enter(item_stage::scorer_wait, s.ctx.now);
     item->rewardFailures = call.failures;
     item->nextRewardAt = s.ctx.now + kRewardRetryDelay;
     s.log("reward-repeated", item->item.id.value,
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -2,6 +2,10 @@
 #include "node_step.h"
 
 #include <algorithm>
+#include <range/v3/algorithm/all_of.hpp>
+#include <range/v3/range/primitives.hpp>
+#include <range/v3/view/filter.hpp>
+#include <range/v3/view/map.hpp>
 
 namespace jacinthvale::node {
 
@@ -82,6 +86,7 @@
     s.state.ops.erase(item.run);
     item.run = {};
     item.phase = item_phase::waiting;
+    item.timeline.enter(item_stage::rerun, s.ctx.now);
 }
 
 void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
@@ -96,6 +101,7 @@
     item.startedAt = s.ctx.now;
     if (item.firstStartedAt == instant{}) {
         item.firstStartedAt = s.ctx.now;
+        item.timeline.enter(item_stage::prompt, s.ctx.now);
     }
     item.lastChunkAt = s.ctx.now;
     item.chunkCountAtStart = item.chunkCount;
@@ -167,6 +173,7 @@
     item.phase = item_phase::finished;
     item.outcome = outcome;
     item.finishedAt = s.ctx.now;
+    item.timeline.enter(item_stage::commit, s.ctx.now);
     batch.finished.push_back(index);
 }
 
@@ -191,6 +198,35 @@
     }
 }
 
+namespace {
+
+/// @returns why an item that never ran has no upstream; called where none can take it.
+item_stage waitStageOf(const step &s, const placement_request &request)
+{
+    const auto hasWeights = [&](const auto &entry) {
+        const auto &[id, view] = entry;
+        return view.entry.service == request.service && !isLeaving(s.state, view)
+               && versionOf(view, request.model) >= request.minVersion && !isLoading(s.state, id, s.ctx.now);
+    };
+    auto fitting = s.state.upstreams | ranges::views::filter(hasWeights) | ranges::views::values;
+    if (ranges::empty(fitting)) {
+        return item_stage::weights_wait;
+    }
+    const bool allEjected = ranges::all_of(
+            fitting, [&](const upstream_view &view) { return view.ejectedUntil > s.ctx.now; });
+    return allEjected ? item_stage::ejection_wait : item_stage::slot_wait;
+}
+
+/// An item that ran before stays in the stage of its next run.
+void setWaitStage(const step &s, owned_item &item, item_stage stage)
+{
+    if (item.firstStartedAt == instant{} && item.timeline.stage() != stage) {
+        item.timeline.enter(stage, s.ctx.now);
+    }
+}
+
+} // namespace
+
 void startRuns(step &s)
 {
     node_state &state = s.state;
@@ -222,20 +258,22 @@
         }
     }
     std::ranges::sort(waiting, {}, &waiting_run::latestStart);
-    std::set<std::tuple<service_id, model_id, weight_version>> full;
+    std::map<std::tuple<service_id, model_id, weight_version>, item_stage> full;
     for (const waiting_run &run : waiting) {
         const batch &spec = run.batch->spec;
         const auto key = std::make_tuple(run.service, spec.model, spec.minVersion);
-        if (full.contains(key)) {
+        owned_item &waitingItem = run.batch->items[run.index];
+        if (const auto reason = full.find(key); reason != full.end()) {
+            setWaitStage(s, waitingItem, reason->second);
             continue;
         }
-        const batch_item &item = run.batch->items[run.index].item;
-        const auto target = placeRun(state,
-                                     {run.service, spec.model, spec.minVersion, &snapshots.get(run.service),
-                                      expectedTokens(item), isShort(item), false},
-                                     s.ctx.now);
+        const batch_item &item = waitingItem.item;
+        const placement_request request{run.service,          spec.model,
+                                        spec.minVersion,      &snapshots.get(run.service),
+                                        expectedTokens(item), isShort(item)};
+        const auto target = placeRun(state, request, s.ctx.now);
         if (!target) {
-            full.insert(key);
+            setWaitStage(s, waitingItem, full.emplace(key, waitStageOf(s, request)).first->second);
             continue;
         }
         startRun(s, *run.batch, run.index, *target, run.latestStart);
@@ -363,6 +401,11 @@
         item->versions.insert(chunk.version);
         ++item->chunkCount;
     }
+    const bool isFirstOfRun = item->chunkCount - progress.chunks.size() == item->chunkCountAtStart;
+    item->timeline.enterAfter(isFirstOfRun                                     ? item->timeline.stage()
+                              : s.ctx.now - item->lastChunkAt >= kStallTimeout ? item_stage::stall
+                                                                               : item_stage::generation,
+                              item_stage::generation, s.ctx.now);
     // The time of the first chunk includes the queue and the prompt; only later ones measure the latency.
     if (item->chunkCount - progress.chunks.size() > item->chunkCountAtStart && !progress.chunks.empty()) {
         recordLatency(s, operation.upstream,
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -425,6 +425,12 @@
                            {"what", entry.eventName},
                            {"subject", entry.subject},
                            {"detail", entry.detail}};
+    if (const std::uint64_t storeMs = storeTime(m_state, now()); storeMs != 0) {
+        line["storeMs"] = storeMs;
+    }
+    for (const auto &[name, value] : entry.fields) {
+        std::visit([&line, &field = name](const auto &v) { line["fields"][field] = v; }, value);
+    }
     if (*leftOut > 0) {
         line["leftOut"] = *leftOut;
     }
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -39,9 +39,10 @@
         out.emplace_back(std::move(emitted));
     }
 
-    void log(std::string eventName, std::string subject, std::string detail = {})
+    void log(std::string eventName, std::string subject, std::string detail = {}, log_fields fields = {})
     {
-        out.emplace_back(log_decision{std::move(eventName), std::move(subject), std::move(detail)});
+        out.emplace_back(
+                log_decision{std::move(eventName), std::move(subject), std::move(detail), std::move(fields)});
     }
 };
 
@@ -169,6 +170,10 @@
 void stopRun(step &s, owned_item &item);
 void markSurplus(owned_batch &batch);
 
+// Log lines from which the duration of a step can be explained (node_step_log.cpp).
+/// Logs where the time of a batch went, up to the commit of the last group that its trainer waits for.
+void logStepTimeline(step &s, const owned_batch &batch);
+
 // Output of items that return in a later batch (node_retained.cpp).
 /// Keeps the output of items in incomplete groups of a batch that ended: they may return in a later batch.
 void retainOutputs(step &s, const owned_batch &batch);
