A damaged length in packed data no longer makes a process allocate it

A damaged length in a row of the store or in a message of a peer between some GB and 2^47 is granted by the allocator and filled with zeros until the host ends the process; the catch around it sees only lengths that the allocator refuses.

Shown: node_leaving.damagedRowOfAnotherDaemonIsIgnored ended the test process (RC, allocation of 2^61 bytes). A damaged bool was read as a value that is neither true nor false (undefined behaviour, seen by the sanitizer in packed_data.damagedRowsAreRefusedOrDecoded).

Change: rows and peers' messages of jvnode are read through an archive that compares each length with the bytes that are left and refuses such bools. The format is unchanged. wire.h, which the other daemons use, already bounds its lists and texts.

--- a/src/node_pack.h
+++ b/src/node_pack.h
@@ -7,6 +7,7 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <jacinthvale/bounded_archive.h>
 #include <jacinthvale/types.h>
 #include <sstream>
 #include <string>
@@ -58,17 +59,16 @@
 bool unpackAs(std::uint8_t expectedFormat, const std::string &bytes, Values &...values)
 {
     try {
-        std::istringstream stream(bytes, std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(stream);
+        bounded_input_archive archive(bytes);
         std::uint8_t format = 0;
         archive(format);
         if (format != expectedFormat) {
             return false;
         }
         archive(values...);
-        return Trailing == trailing_bytes::ignore || stream.peek() == std::istringstream::traits_type::eof();
+        return Trailing == trailing_bytes::ignore || archive.isAtEnd();
     } catch (const std::exception &) {
-        // cereal or the allocator throws on an invalid length in damaged bytes.
+        // The archive throws on an invalid length in damaged bytes.
         return false;
     }
 }
