Streams that send bytes without completing a chunk are ended

Cause: a fault that operators of similar systems told us of. The timer of a run was started again by every byte, so an upstream that sends a byte now and then kept a stalled run for ever; and its bound was 2 s for every upstream, also for one whose chunks take longer.

Change: the reducer ends a run that has completed no chunk for eight times the inter-chunk latency of its upstream, 2 s at least and 20 s at most; the connection's timer uses the same bound. Slow but sound streams go on.

--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -28,6 +28,7 @@
     claimOrphanedBatches(s);
     expireOverdueItems(s);
     hedgeAndExpireCalls(s);
+    endSilentRuns(s);
     moveStragglers(s);
     startRewards(s);
     startRuns(s);
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -25,8 +25,11 @@
 /// version, until its row is read again.
 constexpr milliseconds kMisdirectedRunEjection{1000};
 
-/// A run without a chunk for this long is abandoned. A load of weights pauses runs for about a second.
-constexpr milliseconds kRunProgressTimeout{2000};
+/// A run without a chunk for kProgressTimeoutChunks times the upstream's inter-chunk latency is abandoned,
+/// within these bounds. A load of weights pauses runs for about a second.
+constexpr double kProgressTimeoutChunks = 8;
+constexpr milliseconds kMinProgressTimeout{2000};
+constexpr milliseconds kMaxProgressTimeout{20'000};
 
 /// Weight of a new sample in the smoothed inter-chunk latency: a slow upstream is detected after a few
 /// chunks.
@@ -89,6 +92,14 @@
     item.timeline.enter(item_stage::rerun, s.ctx.now);
 }
 
+/// @returns the longest time without a chunk for runs at an upstream; longer where chunks are known to be
+/// slow.
+milliseconds progressTimeoutOf(const upstream_view &view)
+{
+    const milliseconds expected{static_cast<std::int64_t>(kProgressTimeoutChunks * view.interChunkLatencyMs)};
+    return std::clamp(expected, kMinProgressTimeout, kMaxProgressTimeout);
+}
+
 void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
 {
     owned_item &item = batch.items[index];
@@ -108,7 +119,7 @@
     item.run = s.open(run_operation{batch.spec.id, index, target});
     const double slack = latestStart - static_cast<double>(storeTime(s.state, s.ctx.now));
     s.emit(run_item{item.run, view.entry.address, target, batch.spec.host, item.item, item.chunkCount,
-                    urgencyOf(slack, item.isSurplus), kRunProgressTimeout});
+                    urgencyOf(slack, item.isSurplus), progressTimeoutOf(view)});
 }
 
 /// Raises the reservation of a run that exceeds its estimated length.
@@ -370,6 +381,30 @@
     }
 }
 
+void endSilentRuns(step &s)
+{
+    std::vector<run_operation> silent;
+    for (const auto &[id, batch] : s.state.owned) {
+        for (std::size_t index = 0; index < batch.items.size(); ++index) {
+            const owned_item &item = batch.items[index];
+            const auto view = s.state.upstreams.find(item.upstream);
+            // The connection reports a run without any byte; the reducer leaves it a tick for that.
+            if (item.phase == item_phase::running && view != s.state.upstreams.end()
+                && s.ctx.now - item.lastChunkAt > progressTimeoutOf(view->second) + kTickPeriod) {
+                silent.push_back({id, index, item.upstream});
+            }
+        }
+    }
+    for (const run_operation &run : silent) {
+        const owned_item &item = s.state.owned.at(run.batch).items.at(run.item);
+        s.log("run-silent", item.item.id.value,
+              run.upstream.value + " sent no complete chunk for "
+                      + std::to_string((s.ctx.now - item.lastChunkAt).count()) + " ms");
+        s.emit(cancel_call{item.run});
+        onRunEnded(s, run, call_end::timed_out);
+    }
+}
+
 void onRunProgress(step &s, const run_operation &operation, const run_progressed &progress)
 {
     owned_item *item = runningItemOf(s, operation, progress.op);
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -168,6 +168,8 @@
 void onRunProgress(step &s, const run_operation &operation, const run_progressed &progress);
 void onRunEnded(step &s, const run_operation &operation, call_end end);
 void stopRun(step &s, owned_item &item);
+/// Ends runs without a complete chunk for their progress timeout, also if bytes still arrive.
+void endSilentRuns(step &s);
 void markSurplus(owned_batch &batch);
 
 // Log lines from which the duration of a step can be explained (node_step_log.cpp).
