--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -113,6 +113,8 @@
     instant committedAt{};
     item_timeline timeline;
     instant lastChunkAt{};
+    /// First chunk of the current run.
+    instant firstChunkAt{};
     std::uint64_t chunkCountAtStart = 0;
     /// Tokens reserved at the upstream for this run.
     double reservedTokens = 0;
@@ -208,6 +210,9 @@
     instant latencyUpdatedAt{};
     /// Lowest smoothed latency so far, as an estimate for the undisturbed upstream; 0 if unknown.
     double bestInterChunkLatencyMs = 0;
+    /// Lowest mean inter-chunk latency of a run so far; 0 if unknown. Single latencies are also low where chunks
+    /// were held up and arrive together. Used only for the log.
+    double fastestRunLatencyMs = 0;
     /// When this process itself last measured the latency.
     instant latencyMeasuredAt{};
     /// Last chunk of any run of this process there.
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -166,6 +166,21 @@
     view.consecutiveFailures = 0;
 }
 
+/// Updates the fastest run of an upstream; called for each chunk of a run.
+void recordRunLatency(step &s, const owned_item &item)
+{
+    constexpr std::uint64_t kMinChunks = 20;
+    const auto view = s.state.upstreams.find(item.upstream);
+    const std::uint64_t chunks = item.chunkCount - item.chunkCountAtStart;
+    if (view == s.state.upstreams.end() || chunks <= kMinChunks) {
+        return;
+    }
+    const double meanMs
+            = static_cast<double>((s.ctx.now - item.firstChunkAt).count()) / static_cast<double>(chunks - 1);
+    double &fastest = view->second.fastestRunLatencyMs;
+    fastest = fastest > 0 ? std::min(fastest, meanMs) : meanMs;
+}
+
 } // namespace
 
 void onTextComplete(step &s, owned_batch &batch, std::size_t index)
@@ -448,6 +463,10 @@
                               / static_cast<double>(progress.chunks.size()));
     }
     item->lastChunkAt = s.ctx.now;
+    if (isFirstOfRun) {
+        item->firstChunkAt = s.ctx.now;
+    }
+    recordRunLatency(s, *item);
     raiseReservation(s, *item);
     if (const auto view = s.state.upstreams.find(operation.upstream); view != s.state.upstreams.end()) {
         view->second.lastChunkAt = s.ctx.now;
--- a/src/node_step_log.cpp
+++ b/src/node_step_log.cpp
@@ -64,7 +64,7 @@
     const double median = medianInterChunkLatency(s.state, service, s.ctx.now);
     service_capacity capacity;
     for (const auto &[id, view] : s.state.upstreams) {
-        const double best = view.bestInterChunkLatencyMs > 0 ? view.bestInterChunkLatencyMs : median;
+        const double best = view.fastestRunLatencyMs > 0 ? view.fastestRunLatencyMs : median;
         if (view.entry.service != service || best <= 0) {
             continue;
         }
