Half of a model's upstreams skip a version while versions follow quickly

Change: an upstream whose weights the current step still accepts is loaded only until half of its model's upstreams have the named version. The other half skips it and loads the next one, while the first half serves the next step. If no version follows for twice the observed interval, the rest is loaded too. An upstream takes runs again once its load is confirmed.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -340,6 +340,27 @@
     }
 };
 
+/// When the operator named the current version of a model, and the time since the version before it.
+struct version_pace
+{
+    instant namedAt{};
+    /// Zero before the second version.
+    milliseconds interval{0};
+};
+
+/// Time for which an upstream is expected to take no new runs because it loads weights.
+struct load_window
+{
+    /// Store time at which the lease row first listed the upstream for this load.
+    std::uint64_t sinceMs = 0;
+    /// Store time of the last lease row that listed it.
+    std::uint64_t lastListedMs = 0;
+    /// Store time of the last confirmed load.
+    std::uint64_t confirmedMs = 0;
+
+    bool isOpen() const { return sinceMs > confirmedMs; }
+};
+
 /// Lease for ordering loads of weights: the last known lease row, and the orders of this process while it is
 /// the holder.
 struct weights_leader
@@ -363,6 +384,8 @@
     /// Upstreams to which the last lease row lets the holder send orders, with the store time of the row that
     /// listed them. A successor sends them no orders for a while.
     std::map<upstream_id, std::uint64_t> planned;
+    /// Loads that the lease rows announced, by upstream.
+    std::map<upstream_id, load_window> loadWindows;
     /// Confirmed loads that the lease row advertises to all daemons.
     std::vector<loaded_weights> loaded;
     /// Value of `planned` that the renewal in progress writes.
@@ -474,6 +497,7 @@
     bool configKnown = false;
     route_table config;
     std::map<model_id, weight_version> namedVersions;
+    std::map<model_id, version_pace> versionPaces;
     std::map<upstream_id, upstream_view> upstreams;
     /// Announced to this daemon or to any other one.
     leaving_upstreams leavingUpstreams;
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -108,6 +108,14 @@
     feed.pollInterval = pollIntervalOf(s.state, feed.table);
 }
 
+void recordNaming(step &s, const model_id &model)
+{
+    const auto [found, isFirst] = s.state.versionPaces.try_emplace(model);
+    version_pace &pace = found->second;
+    pace.interval = isFirst ? milliseconds{0} : s.ctx.now - pace.namedAt;
+    pace.namedAt = s.ctx.now;
+}
+
 void onOperatorRow(step &s, const row_change &change)
 {
     std::visit(overloaded{[&](const route_table &table) {
@@ -122,6 +130,7 @@
                           [&](const named_version &named) {
                               weight_version &current = s.state.namedVersions[named.model];
                               if (current < named.version) {
+                                  recordNaming(s, named.model);
                                   current = named.version;
                                   s.log("version-named", named.model.value,
                                         std::to_string(named.version.value));
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -18,7 +18,7 @@
 /// about 8 s.
 constexpr milliseconds kLatencyMaxAge{4000};
 
-/// An upstream that the lease row lists for a load of weights refuses new runs for about this long.
+/// An upstream that the lease row lists for a load of weights refuses new runs for at most about this long.
 constexpr milliseconds kLoadDuration{1000};
 
 /// Expected tokens of an item without an estimate of the client, as a share of its maximum.
@@ -230,9 +230,10 @@
 
 bool isLoading(const node_state &state, const upstream_id &id, instant now)
 {
-    const auto named = state.weightsLeader.planned.find(id);
-    return named != state.weightsLeader.planned.end()
-           && storeTime(state, now) < named->second + static_cast<std::uint64_t>(kLoadDuration.count());
+    const auto found = state.weightsLeader.loadWindows.find(id);
+    return found != state.weightsLeader.loadWindows.end() && found->second.isOpen()
+           && storeTime(state, now)
+                      < found->second.sinceMs + static_cast<std::uint64_t>(kLoadDuration.count());
 }
 
 bool isLatencyFresh(const upstream_view &view, instant now)
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -34,8 +34,8 @@
 /// @returns the version of a model's weights on an upstream; 0 if it has none.
 weight_version versionOf(const upstream_view &view, const model_id &model);
 
-/// True if the upstream was recently listed for a load of weights: it starts no runs, and its running ones
-/// may pause.
+/// True if the upstream was recently listed for a load of weights that is not confirmed yet: it starts no
+/// runs.
 bool isLoading(const node_state &state, const upstream_id &id, instant now);
 
 /// True if the upstream's inter-chunk latency was measured recently, here or by another daemon.
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -35,6 +35,12 @@
 /// load.
 constexpr milliseconds kOrderTimeout{6000};
 
+/// Assumed interval between two versions of a model before it is observed, and bounds of the time after which
+/// a version is loaded everywhere because no next one has come.
+constexpr milliseconds kDefaultNamingInterval{4000};
+constexpr milliseconds kMinSettleTime{1000};
+constexpr milliseconds kMaxSettleTime{60'000};
+
 /// Time between two status requests to an upstream that is busy or loading.
 constexpr milliseconds kStatusRequestInterval{200};
 
@@ -73,6 +79,37 @@
     return plan;
 }
 
+/// Opens the window of a load that the lease row lists. Renewals list it again until the load is confirmed.
+void onLoadListed(weights_leader &lease, const upstream_id &id, std::uint64_t listedAtMs)
+{
+    load_window &window = lease.loadWindows[id];
+    // A load that is given up is listed no more; a later listing announces another one.
+    const bool isRepeated
+            = listedAtMs > window.lastListedMs + 2 * static_cast<std::uint64_t>(kRenewPeriod.count());
+    if (listedAtMs > window.confirmedMs && (!window.isOpen() || isRepeated)) {
+        window.sinceMs = listedAtMs;
+    }
+    window.lastListedMs = std::max(window.lastListedMs, listedAtMs);
+}
+
+void onLoadConfirmed(weights_leader &lease, const loaded_weights &load)
+{
+    std::uint64_t &confirmedMs = lease.loadWindows[load.upstream].confirmedMs;
+    confirmedMs = std::max(confirmedMs, load.seenAtMs);
+}
+
+/// Applies the listed loads of a lease row, and forgets upstreams that left the table.
+void setPlan(step &s, std::map<upstream_id, std::uint64_t> plan)
+{
+    weights_leader &lease = s.state.weightsLeader;
+    std::erase_if(lease.loadWindows,
+                  [&](const auto &entry) { return !s.state.upstreams.contains(entry.first); });
+    for (const auto &[id, listedAtMs] : plan) {
+        onLoadListed(lease, id, listedAtMs);
+    }
+    lease.planned = std::move(plan);
+}
+
 void writeLease(step &s, bool release)
 {
     weights_leader &lease = s.state.weightsLeader;
@@ -156,20 +193,45 @@
     weight_version version;
 };
 
+/// True if no next version is expected soon: the current one was named twice the usual interval ago.
+bool hasSettled(const node_state &state, const model_id &model, instant now)
+{
+    const auto found = state.versionPaces.find(model);
+    if (found == state.versionPaces.end()) {
+        return true;
+    }
+    const milliseconds interval
+            = found->second.interval.count() > 0 ? found->second.interval : kDefaultNamingInterval;
+    return now - found->second.namedAt >= std::clamp(2 * interval, kMinSettleTime, kMaxSettleTime);
+}
+
+/// Adds the loads that are needed now: of upstreams that cannot serve the current step, and of others until
+/// half of the model's upstreams have the named version. The other half skips it and loads the next one,
+/// while the first half serves the next step: each load takes an upstream out of service, and the weights'
+/// source limits their rate.
 void addPendingLoads(const step &s, const std::map<upstream_id, model_id> &assignment,
                      std::vector<pending_load> &pendingLoads)
 {
     // For each model: the number of its upstreams that can serve the current step, and of all its upstreams.
     std::map<model_id, std::pair<double, double>> usable;
+    // For each model: the number of its upstreams that will serve the next step without another load.
+    std::map<model_id, double> prepared;
     const auto servesStep = [&](const upstream_id &id, const model_id &model) {
         const auto named = s.state.namedVersions.find(model);
         // A step accepts the named version and the one before it.
         return named == s.state.namedVersions.end()
                || versionOf(s.state.upstreams.at(id), model).value + 1 >= named->second.value;
     };
+    const auto isPrepared = [&](const upstream_id &id, const model_id &model) {
+        const auto named = s.state.namedVersions.find(model);
+        return named == s.state.namedVersions.end() || !servesStep(id, model)
+               || versionOf(s.state.upstreams.at(id), model) >= named->second
+               || s.state.weightsLeader.orders.contains(id);
+    };
     for (const auto &[id, model] : assignment) {
         usable[model].first += servesStep(id, model) ? 1 : 0;
         usable[model].second += 1;
+        prepared[model] += isPrepared(id, model) ? 1 : 0;
     }
     const std::uint64_t now = storeTime(s.state, s.ctx.now);
     for (const auto &[id, model] : assignment) {
@@ -179,7 +241,10 @@
         const bool isUnblocked
                 = blocked == s.state.weightsLeader.blockedUntil.end() || blocked->second <= now;
         if (isUnblocked && named != s.state.namedVersions.end() && versionOf(view, model) < named->second
-            && view.ejectedUntil <= s.ctx.now && !s.state.weightsLeader.orders.contains(id)) {
+            && view.ejectedUntil <= s.ctx.now && !s.state.weightsLeader.orders.contains(id)
+            && (!servesStep(id, model) || prepared[model] < usable[model].second / 2
+                || hasSettled(s.state, model, s.ctx.now))) {
+            prepared[model] += servesStep(id, model) ? 1 : 0;
             pendingLoads.push_back({usable[model].first / usable[model].second, servesStep(id, model), id,
                                     model, named->second});
         }
@@ -222,8 +287,9 @@
         return true;
     }
     if (versionOf(view->second, order.model) >= order.version) {
-        s.state.weightsLeader.loaded.push_back(
-                {id, order.model, order.version, storeTime(s.state, s.ctx.now)});
+        const loaded_weights load{id, order.model, order.version, storeTime(s.state, s.ctx.now)};
+        s.state.weightsLeader.loaded.push_back(load);
+        onLoadConfirmed(s.state.weightsLeader, load);
         s.log("weights-loaded", id.value,
               order.model.value + " version " + std::to_string(order.version.value) + " after "
                       + std::to_string((s.ctx.now - order.startedAt).count()) + " ms");
@@ -326,11 +392,13 @@
     lease.holderIncarnation = row->incarnation;
     lease.epoch = row->epoch;
     lease.released = row->released;
-    lease.planned.clear();
+    std::map<upstream_id, std::uint64_t> plan;
     for (const auto &[id, listedAtMs] : row->planned) {
-        lease.planned.emplace(upstream_id{id}, listedAtMs);
+        plan.emplace(upstream_id{id}, listedAtMs);
     }
+    setPlan(s, std::move(plan));
     for (const loaded_weights &load : row->loaded) {
+        onLoadConfirmed(lease, load);
         const auto found = s.state.upstreams.find(load.upstream);
         if (found != s.state.upstreams.end()) {
             advanceWeightVersion(found->second.entry, load.model, load.version);
@@ -371,7 +439,7 @@
                       + ", upstreams blocked by the former holder's orders "
                       + std::to_string(lease.blockedUntil.size()));
     }
-    lease.planned = lease.renewalPlan;
+    setPlan(s, lease.renewalPlan);
     runWeightsLeader(s);
 }
 
--- a/tests/test_node_weights.cpp
+++ b/tests/test_node_weights.cpp
@@ -1,5 +1,6 @@
 // Loading of weights: a single holder of the lease, takeover of loads by the next holder, and order of the
 // loads.
+#include "node_placement.h"
 #include "node_simulation.h"
 
 #include <gtest/gtest.h>
@@ -183,4 +184,54 @@
               40U);
 }
 
+// Pattern: each trainer names a version every 2 s; loading each on all upstreams would take more than that
+// time. Half of a model's upstreams skip a version, and enough of them serve each step at once.
+TEST(node_weights, halfOfTheUpstreamsSkipAVersionWhileVersionsFollowQuickly)
+{
+    constexpr std::size_t kUpstreams = 10;
+    node_simulation simulation(7, 3, kUpstreams);
+    simulation.run(kWarmUp);
+    for (std::uint64_t version = 2; version < 8; ++version) {
+        simulation.setNamedVersion("m0", version);
+        simulation.run(milliseconds{100});
+        // The step accepts the named version and the one before it.
+        EXPECT_GE(countUpstreamsAtVersion(simulation, kUpstreams, "m0", version - 1), 2U) << version;
+        simulation.run(milliseconds{1900});
+    }
+    EXPECT_LE(simulation.ordersSent(), 20U);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_weights, lastVersionIsLoadedEverywhereOnceNoOtherFollows)
+{
+    constexpr std::size_t kUpstreams = 10;
+    node_simulation simulation(8, 3, kUpstreams);
+    simulation.run(kWarmUp);
+    for (std::uint64_t version = 2; version < 6; ++version) {
+        simulation.setNamedVersion("m0", version);
+        simulation.run(milliseconds{2000});
+    }
+    simulation.run(milliseconds{10'000});
+    EXPECT_EQ(countUpstreamsAtVersion(simulation, kUpstreams, "m0", 5), 5U);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+// Pattern: renewals of the lease list a load again until it is confirmed; its upstream takes runs from the
+// confirmation on, not from the end of the last listing.
+TEST(node_weights, upstreamTakesRunsOnceItsLoadIsConfirmed)
+{
+    node_simulation simulation(9, 1, 2);
+    simulation.run(kWarmUp);
+    simulation.setNamedVersion("m0", 2);
+    const auto loading = [&] {
+        return std::ranges::any_of(simulation.state(0).upstreams, [&](const auto &entry) {
+            return isLoading(simulation.state(0), entry.first, simulation.now());
+        });
+    };
+    ASSERT_TRUE(simulation.runUntil(loading, milliseconds{3000}));
+    ASSERT_TRUE(simulation.runUntil([&] { return countUpstreamsAtVersion(simulation, 2, "m0", 2) > 0; },
+                                    milliseconds{3000}));
+    EXPECT_TRUE(simulation.runUntil([&] { return !loading(); }, milliseconds{300}));
+}
+
 } // namespace jacinthvale
