Pages of a far store hold what can be read before the reader gives up

A daemon that does not own a batch read all its results at once, up to 1 MB; at a window for each round trip that takes about as long as a reader without a wait time stays (1.5 s), and the transfer to the reader takes the same time again. Nothing was logged, because the reader left first.

Ruled out: a result that was never committed (the batches had ended, all rows were there); the store's read deadline of 3 s (no page-not-read line).

Change: a page covers as many results as could be read in 0.3 s at the pace of earlier reads (start values 1 kB a ms, 8 kB a result). A reader that leaves is logged with position and time, as is a read that fails.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -210,8 +210,8 @@
     instant latencyUpdatedAt{};
     /// Lowest smoothed latency so far, as an estimate for the undisturbed upstream; 0 if unknown.
     double bestInterChunkLatencyMs = 0;
-    /// Lowest mean inter-chunk latency of a run so far; 0 if unknown. Single latencies are also low where chunks
-    /// were held up and arrive together. Used only for the log.
+    /// Lowest mean inter-chunk latency of a run so far; 0 if unknown. Single latencies are also low where
+    /// chunks were held up and arrive together. Used only for the log.
     double fastestRunLatencyMs = 0;
     /// When this process itself last measured the latency.
     instant latencyMeasuredAt{};
@@ -269,6 +269,19 @@
     instant nextAt{};
     bool running = false;
     op_id op;
+    instant requestedAt{};
+    /// Start of the read in progress, and the number of results that it covers.
+    instant readAt{};
+    std::size_t resultLimit = 0;
+};
+
+/// Pace of page reads from the store, from which the number of results of a page follows: a reader gives up
+/// after a fixed time, and where hosts are far from the store a large page takes longer than that.
+struct page_pace
+{
+    /// Smoothed; the start values apply until pages have been read.
+    double bytesPerMs = 1000;
+    double bytesPerResult = 8000;
 };
 
 /// One attempt of a forwarded call.
@@ -514,6 +527,7 @@
     std::map<batch_id, pending_batch> pending;
     std::map<batch_id, loading_batch> loading;
     std::map<exchange_id, page_read> pages;
+    page_pace pagePace;
     std::map<call_origin, call_state> calls;
     /// Smoothed duration in ms of the forwarded calls of each route.
     std::map<std::string, double> callDurations;
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -303,6 +303,7 @@
     s.log("batch-dropped", id.value, reason + "; items not committed " + std::to_string(uncommitted));
     for (const waiting_reader &reader : readers) {
         page_read page{reader.exchange, id, reader.after, reader.until, s.ctx.now, false, {}};
+        page.requestedAt = s.ctx.now;
         s.state.pages.insert_or_assign(reader.exchange, page);
     }
 }
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -329,7 +329,9 @@
         cancelAttempts(s, found->second);
         s.state.calls.erase(found);
     }
-    s.state.pages.erase(disconnected.exchange);
+    if (const auto page = s.state.pages.extract(disconnected.exchange); !page.empty()) {
+        logPageLost(s, "page-abandoned", page.mapped(), "the reader closed the connection");
+    }
     for (auto &[id, batch] : s.state.owned) {
         std::erase_if(batch.readers,
                       [&](const waiting_reader &reader) { return reader.exchange == disconnected.exchange; });
--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -18,6 +18,39 @@
 /// Maximum bytes of texts in one page. The platform's page allows 1 MB, and JSON escapes make texts longer.
 constexpr std::size_t kMaxPageBytes = 700'000;
 
+/// Time that the read of a page from the store should take. The transfer to the reader takes about as long,
+/// and readers without a wait time give up after 1.5 s.
+constexpr double kPageReadMs = 300;
+
+/// Minimum size of a read that measures the pace; smaller ones measure the latency. Weight of a new sample.
+constexpr std::size_t kMinPaceSampleBytes = 64'000;
+constexpr double kPaceSampleWeight = 0.4;
+
+/// Maximum number of results of a page; their rows exceed what the store returns at once.
+constexpr std::size_t kMaxPageResults = 500;
+
+/// @returns the number of results that can be read from the store in time.
+std::size_t resultLimitOf(const page_pace &pace)
+{
+    const double results = kPageReadMs * pace.bytesPerMs / std::max(1.0, pace.bytesPerResult);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(results), 1, kMaxPageResults);
+}
+
+/// Updates the pace with a read of results.
+void recordPageRead(step &s, const page_read &page, std::size_t results, std::size_t bytes)
+{
+    if (results == 0) {
+        return;
+    }
+    page_pace &pace = s.state.pagePace;
+    const auto smooth = [](double &value, double sample) { value += kPaceSampleWeight * (sample - value); };
+    smooth(pace.bytesPerResult, static_cast<double>(bytes) / static_cast<double>(results));
+    if (bytes >= kMinPaceSampleBytes || results >= page.resultLimit) {
+        const auto durationMs = static_cast<double>((s.ctx.now - page.readAt).count());
+        smooth(pace.bytesPerMs, static_cast<double>(bytes) / std::max(1.0, durationMs));
+    }
+}
+
 /// Drops the results that exceed the size of a page; keeps at least one, however long.
 std::vector<item_result> cutToPage(std::vector<item_result> results)
 {
@@ -70,8 +103,11 @@
         requestHeadRow(s, page.op, page.batch);
         return;
     }
+    page.readAt = s.ctx.now;
+    page.resultLimit = resultLimitOf(s.state.pagePace);
     s.emit(read_rows{page.op, table_id::results, batchPartition(page.batch),
-                     resultKey(page.batch, page.after, 0), batchKeysEnd(page.batch)});
+                     resultKey(page.batch, page.after, 0),
+                     resultKey(page.batch, page.after + page.resultLimit, 0)});
 }
 
 } // namespace
@@ -82,6 +118,15 @@
                   [&](const waiting_reader &reader) { return answerReader(s, batch, reader); });
 }
 
+void logPageLost(step &s, const std::string &eventName, const page_read &page, const std::string &reason)
+{
+    s.log(eventName, page.batch.value,
+          reason + "; position " + std::to_string(page.after) + ", after "
+                  + std::to_string((s.ctx.now - page.requestedAt).count()) + " ms, "
+                  + (page.running ? "reading up to " + std::to_string(page.resultLimit) + " results"
+                                  : "waiting for results"));
+}
+
 void onPageRequested(step &s, const page_requested &request)
 {
     const instant until = s.ctx.now + request.wait;
@@ -93,6 +138,7 @@
         return;
     }
     page_read page{request.exchange, request.batch, request.after, until, s.ctx.now, false, {}};
+    page.requestedAt = s.ctx.now;
     page_read &stored = s.state.pages.insert_or_assign(request.exchange, page).first->second;
     requestPageRows(s, stored, !s.state.heads.contains(request.batch));
 }
@@ -120,10 +166,13 @@
         return;
     }
     result_assembler assembler;
+    std::size_t bytes = 0;
     for (const row_change &change : rows.rows) {
         assembler.add(change.row);
+        bytes += change.row.value.size();
     }
     std::vector<item_result> results = assembler.finish();
+    recordPageRead(s, page, results.size(), bytes);
     const std::size_t total = s.state.heads.at(page.batch).total;
     if (results.empty() && page.after < total && page.until > s.ctx.now) {
         page.nextAt = s.ctx.now + kPagePollInterval;
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -157,7 +157,7 @@
                           [&](const page_operation &page) {
                               const auto read = s.state.pages.extract(page.exchange);
                               if (!read.empty()) {
-                                  s.log("page-not-read", read.mapped().batch.value, failed.reason);
+                                  logPageLost(s, "page-not-read", read.mapped(), failed.reason);
                                   refuseExchange(page.exchange);
                               }
                           },
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -137,6 +137,8 @@
 void expireOverdueItems(step &s);
 
 void onPageRequested(step &s, const page_requested &request);
+/// Logs that a reader got no page, with the position and the time that it waited.
+void logPageLost(step &s, const std::string &eventName, const page_read &page, const std::string &reason);
 void onPageRows(step &s, const page_operation &operation, const rows_received &rows);
 void onItemRequested(step &s, const item_requested &request);
 void onItemRows(step &s, item_operation operation, const rows_received &rows);
