--- a/tests/test_platform_runtime.cpp
+++ b/tests/test_platform_runtime.cpp
@@ -36,7 +36,7 @@
     endpoint bindToFreePort() const
     {
         sockaddr_in address = loopback(0);
-        bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        EXPECT_EQ(bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
         socklen_t size = sizeof(address);
         getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
         return {"127.0.0.1", ntohs(address.sin_port)};
