One way to start a call; fewer lookups for each chunk and tick

Cause: the last reading of the change. startUpstreamCall() repeated startCall(); items that do not run were looked up at each tick, and an upstream twice for each chunk; two maps held the counts of one model's upstreams; two functions of ctl_steps.cpp had one name for different things, and a comment promised an order that nothing made; tests of leaving upstreams repeated one loop.

Change: startCall() takes the upstream that may announce its leaving. The rest is looked up once, merged or renamed. Streams and requests without an id, which refuse a late copy of another answer, get the tests that they lacked (two in test_platform_wire).

--- a/src/ctl_steps.cpp
+++ b/src/ctl_steps.cpp
@@ -42,13 +42,13 @@
     std::vector<answered_page> pages;
 };
 
-std::int64_t fieldOf(const step_log_line &line, const char *name)
+std::int64_t fieldOf(const step_log_line &line, const std::string &name)
 {
     const auto found = line.fields.find(name);
     return found != line.fields.end() && found->is_number_integer() ? found->get<std::int64_t>() : 0;
 }
 
-std::string textOf(const step_log_line &line, const char *name)
+std::string textOf(const step_log_line &line, const std::string &name)
 {
     const auto found = line.fields.find(name);
     return found != line.fields.end() && found->is_string() ? found->get<std::string>() : std::string();
@@ -113,7 +113,7 @@
         record.stages.push_back({kOwnerChange, ownedMs - *record.acceptedMs});
     }
     for (const std::string_view name : node::kItemStageNames) {
-        record.stages.push_back({std::string(name), fieldOf(timeline, std::string(name).c_str())});
+        record.stages.push_back({std::string(name), fieldOf(timeline, std::string(name))});
     }
     const std::int64_t decidedMs = fieldOf(timeline, "decidedMs");
     if (decidedMs <= 0) {
@@ -178,7 +178,7 @@
     }
 }
 
-std::string textOf(const std::optional<std::int64_t> &ms)
+std::string numberOrDash(const std::optional<std::int64_t> &ms)
 {
     return ms ? absl::StrCat(*ms) : "-";
 }
@@ -236,7 +236,7 @@
     return models;
 }
 
-/// Mean times of a model's stages, largest first.
+/// Mean times of a model's stages.
 std::vector<stage_time> meanStages(const model_summary &summary)
 {
     std::vector<stage_time> stages;
@@ -335,11 +335,11 @@
     for (const step_record &record : report.steps) {
         const auto total = record.totalMs();
         rows.push_back({record.model, absl::StrCat(record.step), record.batch, absl::StrCat(record.refusals),
-                        absl::StrCat(record.groupsComplete, "/", record.groupsWanted), textOf(total),
-                        textOf(record.limitMs),
+                        absl::StrCat(record.groupsComplete, "/", record.groupsWanted), numberOrDash(total),
+                        numberOrDash(record.limitMs),
                         ratioOf(static_cast<double>(total.value_or(0)),
                                 total ? static_cast<double>(record.limitMs.value_or(0)) : 0),
-                        textOf(record.trainingMs), largestStages(record.stages)});
+                        numberOrDash(record.trainingMs), largestStages(record.stages)});
     }
     std::vector<table_row> modelRows;
     for (const auto &[model, summary] : summarize(report)) {
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -167,17 +167,16 @@
 }
 
 /// Updates the fastest run of an upstream; called for each chunk of a run.
-void recordRunLatency(step &s, const owned_item &item)
+void recordRunLatency(upstream_view &view, const owned_item &item, instant now)
 {
     constexpr std::uint64_t kMinChunks = 20;
-    const auto view = s.state.upstreams.find(item.upstream);
     const std::uint64_t chunks = item.chunkCount - item.chunkCountAtStart;
-    if (view == s.state.upstreams.end() || chunks <= kMinChunks) {
+    if (chunks <= kMinChunks) {
         return;
     }
     const double meanMs
-            = static_cast<double>((s.ctx.now - item.firstChunkAt).count()) / static_cast<double>(chunks - 1);
-    double &fastest = view->second.fastestRunLatencyMs;
+            = static_cast<double>((now - item.firstChunkAt).count()) / static_cast<double>(chunks - 1);
+    double &fastest = view.fastestRunLatencyMs;
     fastest = fastest > 0 ? std::min(fastest, meanMs) : meanMs;
 }
 
@@ -402,9 +401,12 @@
     for (const auto &[id, batch] : s.state.owned) {
         for (std::size_t index = 0; index < batch.items.size(); ++index) {
             const owned_item &item = batch.items[index];
+            if (item.phase != item_phase::running) {
+                continue;
+            }
             const auto view = s.state.upstreams.find(item.upstream);
             // The connection reports a run without any byte; the reducer leaves it a tick for that.
-            if (item.phase == item_phase::running && view != s.state.upstreams.end()
+            if (view != s.state.upstreams.end()
                 && s.ctx.now - item.lastChunkAt > progressTimeoutOf(view->second) + kTickPeriod) {
                 silent.push_back({id, index, item.upstream});
             }
@@ -466,10 +468,10 @@
     if (isFirstOfRun) {
         item->firstChunkAt = s.ctx.now;
     }
-    recordRunLatency(s, *item);
     raiseReservation(s, *item);
     if (const auto view = s.state.upstreams.find(operation.upstream); view != s.state.upstreams.end()) {
         view->second.lastChunkAt = s.ctx.now;
+        recordRunLatency(view->second, *item, s.ctx.now);
     }
 }
 
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -72,27 +72,33 @@
     void operator()(const forward_call &forward) const
     {
         const op_id op = forward.op;
-        self.startUpstreamCall(op, forward.upstream, self.m_port->encodeCall(forward),
-                               [runtime = &self, op](const http_call_finished &f) {
-                                   return runtime->m_port->decodeCall(op, f);
-                               });
+        self.startCall(
+                op, self.m_port->encodeCall(forward),
+                [runtime = &self, op](const http_call_finished &f) {
+                    return runtime->m_port->decodeCall(op, f);
+                },
+                forward.upstream);
     }
     void operator()(const cancel_call &cancelled) const { self.cancel(cancelled.op); }
     void operator()(const request_upstream_status &query) const
     {
         const op_id op = query.op;
-        self.startUpstreamCall(op, query.upstream, self.m_port->encodeStatusRequest(query),
-                               [runtime = &self, op](const http_call_finished &f) {
-                                   return runtime->m_port->decodeStatusReport(op, f);
-                               });
+        self.startCall(
+                op, self.m_port->encodeStatusRequest(query),
+                [runtime = &self, op](const http_call_finished &f) {
+                    return runtime->m_port->decodeStatusReport(op, f);
+                },
+                query.upstream);
     }
     void operator()(const order_weights &order) const
     {
         const op_id op = order.op;
-        self.startUpstreamCall(op, order.upstream, self.m_port->encodeOrder(order),
-                               [runtime = &self, op](const http_call_finished &f) {
-                                   return runtime->m_port->decodeOrder(op, f);
-                               });
+        self.startCall(
+                op, self.m_port->encodeOrder(order),
+                [runtime = &self, op](const http_call_finished &f) {
+                    return runtime->m_port->decodeOrder(op, f);
+                },
+                order.upstream);
     }
     void operator()(const request_upstream_delta &request) const
     {
@@ -365,29 +371,20 @@
              }});
 }
 
-void node_runtime::startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode)
+void node_runtime::startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
+                             const upstream_id &upstream)
 {
-    running_call &running = m_calls[op];
-    running.handle = m_client->start(
-            call, {{}, {}, [this, op, decode = std::move(decode)](const http_call_finished &finished) {
-                       post(decode(finished));
-                       m_calls.erase(op);
-                   }});
-}
-
-void node_runtime::startUpstreamCall(op_id op, const upstream_id &upstream, const call_http &call,
-                                     std::function<event(http_call_finished)> decode)
-{
-    running_call &running = m_calls[op];
-    running.handle = m_client->start(
-            call, {[this, op, upstream](int status, const http_headers &headers) {
-                       readLeaveNotice(op, upstream, status, headers);
-                   },
-                   {},
-                   [this, op, decode = std::move(decode)](const http_call_finished &finished) {
-                       post(decode(finished));
-                       m_calls.erase(op);
-                   }});
+    http_call_listener listener;
+    if (!upstream.empty()) {
+        listener.onHead = [this, op, upstream](int status, const http_headers &headers) {
+            readLeaveNotice(op, upstream, status, headers);
+        };
+    }
+    listener.onFinished = [this, op, decode = std::move(decode)](const http_call_finished &finished) {
+        post(decode(finished));
+        m_calls.erase(op);
+    };
+    m_calls[op].handle = m_client->start(call, std::move(listener));
 }
 
 void node_runtime::readLeaveNotice(op_id op, const upstream_id &upstream, int status,
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -51,10 +51,10 @@
     void reply(reply_http answer);
     void startStore(const store_effect &operation, milliseconds deadline);
     void startRun(const run_item &run);
-    void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode);
-    /// Starts a call to an upstream, which may announce in the head of its response that it is leaving.
-    void startUpstreamCall(op_id op, const upstream_id &upstream, const call_http &call,
-                           std::function<event(http_call_finished)> decode);
+    /// @param upstream receiver of the call, which may announce in its response that it is leaving; empty for
+    /// a call to a peer.
+    void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
+                   const upstream_id &upstream = {});
     void readLeaveNotice(op_id op, const upstream_id &upstream, int status, const http_headers &headers);
     void cancel(op_id op);
     void writeLog(const log_decision &entry);
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -193,6 +193,16 @@
     weight_version version;
 };
 
+/// Numbers of a model's upstreams.
+struct model_upstreams
+{
+    double total = 0;
+    /// Those that can serve the current step.
+    double usable = 0;
+    /// Those that will serve the next step without another load.
+    double prepared = 0;
+};
+
 /// True if no next version is expected soon: the current one was named twice the usual interval ago.
 bool hasSettled(const node_state &state, const model_id &model, instant now)
 {
@@ -212,10 +222,7 @@
 void addPendingLoads(const step &s, const std::map<upstream_id, model_id> &assignment,
                      std::vector<pending_load> &pendingLoads)
 {
-    // For each model: the number of its upstreams that can serve the current step, and of all its upstreams.
-    std::map<model_id, std::pair<double, double>> usable;
-    // For each model: the number of its upstreams that will serve the next step without another load.
-    std::map<model_id, double> prepared;
+    std::map<model_id, model_upstreams> counts;
     const auto servesStep = [&](const upstream_id &id, const model_id &model) {
         const auto named = s.state.namedVersions.find(model);
         // A step accepts the named version and the one before it.
@@ -229,24 +236,25 @@
                || s.state.weightsLeader.orders.contains(id);
     };
     for (const auto &[id, model] : assignment) {
-        usable[model].first += servesStep(id, model) ? 1 : 0;
-        usable[model].second += 1;
-        prepared[model] += isPrepared(id, model) ? 1 : 0;
+        model_upstreams &count = counts[model];
+        count.total += 1;
+        count.usable += servesStep(id, model) ? 1 : 0;
+        count.prepared += isPrepared(id, model) ? 1 : 0;
     }
     const std::uint64_t now = storeTime(s.state, s.ctx.now);
     for (const auto &[id, model] : assignment) {
         const upstream_view &view = s.state.upstreams.at(id);
+        model_upstreams &count = counts.at(model);
+        const bool serves = servesStep(id, model);
         const auto named = s.state.namedVersions.find(model);
         const auto blocked = s.state.weightsLeader.blockedUntil.find(id);
         const bool isUnblocked
                 = blocked == s.state.weightsLeader.blockedUntil.end() || blocked->second <= now;
         if (isUnblocked && named != s.state.namedVersions.end() && versionOf(view, model) < named->second
             && view.ejectedUntil <= s.ctx.now && !s.state.weightsLeader.orders.contains(id)
-            && (!servesStep(id, model) || prepared[model] < usable[model].second / 2
-                || hasSettled(s.state, model, s.ctx.now))) {
-            prepared[model] += servesStep(id, model) ? 1 : 0;
-            pendingLoads.push_back({usable[model].first / usable[model].second, servesStep(id, model), id,
-                                    model, named->second});
+            && (!serves || count.prepared < count.total / 2 || hasSettled(s.state, model, s.ctx.now))) {
+            count.prepared += serves ? 1 : 0;
+            pendingLoads.push_back({count.usable / count.total, serves, id, model, named->second});
         }
     }
 }
--- a/tests/test_node_leaving.cpp
+++ b/tests/test_node_leaving.cpp
@@ -41,6 +41,18 @@
     ASSERT_FALSE(simulation.upstream(upstream).announcedTo.empty());
 }
 
+/// Sends calls and leaves time for their answers. @returns the exchanges.
+std::vector<exchange_id> sendCalls(node_simulation &simulation, milliseconds gap = milliseconds{200})
+{
+    constexpr int kCalls = 20;
+    std::vector<exchange_id> calls;
+    for (int i = 0; i < kCalls; ++i) {
+        calls.push_back(simulation.sendCall(0, "after-" + std::to_string(i)));
+        simulation.run(gap);
+    }
+    return calls;
+}
+
 std::size_t requestsTo(const node_simulation &simulation, const upstream_id &id)
 {
     const auto found = simulation.runsPerUpstream().find(id);
@@ -55,10 +67,8 @@
     simulation.run(kStartupTime);
     simulation.upstream(kPlainUpstream).announcesLeave = true;
     callUntilAnnounced(simulation, 0, kPlainUpstream);
-    for (int i = 0; i < 20; ++i) {
-        const exchange_id call = simulation.sendCall(0, "after-" + std::to_string(i));
-        simulation.run(milliseconds{200});
-        EXPECT_NE(simulation.answerAs<answer_call>(call), nullptr) << i;
+    for (const exchange_id call : sendCalls(simulation)) {
+        EXPECT_NE(simulation.answerAs<answer_call>(call), nullptr) << call.value;
     }
     EXPECT_EQ(simulation.violationText(), "");
 }
@@ -71,10 +81,7 @@
     simulation.upstream(kPlainUpstream).callBehaviour = call_behaviour::refuses;
     callUntilAnnounced(simulation, 0, kPlainUpstream);
     const std::size_t before = requestsTo(simulation, simulation.upstream(kPlainUpstream).entry.id);
-    for (int i = 0; i < 20; ++i) {
-        simulation.sendCall(0, "after-" + std::to_string(i));
-        simulation.run(milliseconds{200});
-    }
+    sendCalls(simulation);
     EXPECT_EQ(requestsTo(simulation, simulation.upstream(kPlainUpstream).entry.id), before);
     EXPECT_EQ(simulation.violationText(), "");
 }
@@ -114,10 +121,7 @@
     simulation.setStoreDown(true);
     simulation.upstream(kPlainUpstream).announcesLeave = true;
     callUntilAnnounced(simulation, 0, kPlainUpstream);
-    for (int i = 0; i < 20; ++i) {
-        simulation.sendCall(0, "after-" + std::to_string(i));
-        simulation.run(milliseconds{100});
-    }
+    sendCalls(simulation, milliseconds{100});
     EXPECT_EQ(simulation.violationText(), "");
 }
 
@@ -182,10 +186,7 @@
             },
             milliseconds{6000}));
     const std::size_t before = requestsTo(simulation, id);
-    for (int i = 0; i < 20; ++i) {
-        simulation.sendCall(0, "after-" + std::to_string(i));
-        simulation.run(milliseconds{200});
-    }
+    sendCalls(simulation);
     EXPECT_GT(requestsTo(simulation, id), before);
 }
 
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -333,4 +333,27 @@
     }
 }
 
+// A response without the id of its request may be a late copy of another one.
+TEST(platform_wire, streamWithoutTheIdOfItsItemProducesNothing)
+{
+    const auto decoder = platform::makeStreamDecoder({});
+    const std::string bytes = "id: 1\ndata: text\n\n";
+    decoder->onResponseHead(200, {});
+    EXPECT_TRUE(decoder->onBodyBytes(bytes).empty());
+    http_call_finished finished;
+    finished.outcome = transfer_outcome::complete;
+    finished.status = 200;
+    EXPECT_EQ(decoder->onFinished(finished), call_end::incomplete);
+    decoder->onResponseHead(200, {{platform::kRequestIdHeader, "i1"}});
+    EXPECT_EQ(decoder->onBodyBytes(bytes).size(), 1U);
+    EXPECT_EQ(decoder->onFinished(finished), call_end::complete);
+}
+
+TEST(platform_wire, requestsWithoutIdRefuseResponsesWithOne)
+{
+    const std::pair<std::string, std::string> none{platform::kRequestIdHeader, ""};
+    EXPECT_EQ(platform::encodeStatusRequestCall({}).echo, none);
+    EXPECT_EQ(platform::encodeOrderCall({}).echo, none);
+}
+
 } // namespace jacinthvale
