Log and count what limited upstreams name and get

Logs could not tell whether hosts ignore a named limit, hold back each on its own, or repeat calls: they named neither the limit nor the requests sent. Nothing uses the limit yet. platform_wire.requestLimitIsADecimalNumber reads the notice.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -194,6 +194,24 @@
     op_id op;
 };
 
+/// Requests per second that an upstream takes from all daemons together.
+struct rate_limit
+{
+    /// 0 if the upstream names no limit.
+    double perSecond = 0;
+    /// Store time in ms of the response that named or lifted it; 0 if none did.
+    std::uint64_t namedAtMs = 0;
+};
+
+/// Requests that this daemon sent to a limited upstream since the last log line.
+struct limited_use
+{
+    unsigned sent = 0;
+    /// Of these: second and later attempts of a call or run.
+    unsigned repeated = 0;
+    instant loggedAt{};
+};
+
 /// An upstream: its table entry, and its load and health as observed from requests.
 struct upstream_view
 {
@@ -226,6 +244,8 @@
     std::uint64_t rowVersion = 0;
     /// Operations up to this one were sent to an earlier process with the same id.
     op_id lastEarlierOp;
+    rate_limit limit;
+    limited_use limitedUse;
 };
 
 /// Upstream processes that announced in a response that they are leaving: the start time of each process, as
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -195,6 +195,16 @@
     upstream_id upstream;
 };
 
+/// The head of a response tells how many requests the upstream takes. Also reported without a limit where one
+/// was known before.
+struct upstream_limit_read
+{
+    op_id op;
+    upstream_id upstream;
+    /// Requests per second from all daemons together; nullopt if the upstream names no limit.
+    std::optional<double> requestsPerSecond;
+};
+
 /// Another daemon requests the changes of the table of upstreams after a version.
 struct upstream_delta_requested
 {
@@ -215,8 +225,8 @@
 using event = std::variant<started, tick, call_received, batch_received, page_requested, item_requested,
                            batch_end_requested, caller_disconnected, rows_received, history_expired,
                            rows_committed, rows_conflict, store_failed, run_progressed, run_ended, call_ended,
-                           upstream_status_received, upstream_leave_announced, upstream_delta_requested,
-                           upstream_delta_received, stop_requested>;
+                           upstream_status_received, upstream_leave_announced, upstream_limit_read,
+                           upstream_delta_requested, upstream_delta_received, stop_requested>;
 
 // Effects.
 
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -153,6 +153,7 @@
     upstream_view &view = s.state.upstreams.at(*target);
     const op_id op = s.open(call_operation{origin, *target});
     ++view.running;
+    recordSent(s, view, !call.tried.empty());
     ++call.sent;
     call.tried.insert(*target);
     call.running.push_back({op, *target, s.ctx.now});
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -5,6 +5,7 @@
 #include <jacinthvale/node.h>
 
 #include <memory>
+#include <optional>
 
 namespace jacinthvale::node {
 
@@ -31,6 +32,15 @@
     malformed,
 };
 
+/// What the head of an upstream's response says about the requests that it takes.
+struct rate_limit_notice
+{
+    /// Requests per second from all daemons together; nullopt if the upstream names no limit.
+    std::optional<double> requestsPerSecond;
+    /// The notice is damaged.
+    bool malformed = false;
+};
+
 /// Decoded client request: an event for the reducer, or an immediate reply.
 using decoded_request = std::variant<event, reply_http>;
 
@@ -69,6 +79,7 @@
 
     /// Reads the notice from the head of any response of an upstream.
     virtual leave_notice decodeLeaveNotice(int status, const http_headers &headers) const = 0;
+    virtual rate_limit_notice decodeRateLimit(int status, const http_headers &headers) const = 0;
     virtual call_http encodeRun(const run_item &run) const = 0;
     virtual std::unique_ptr<run_decoder> makeRunDecoder(const run_item &run) const = 0;
     virtual call_http encodeCall(const forward_call &forward) const = 0;
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -35,6 +35,7 @@
     checkpointBatches(s);
     pollPages(s);
     runWeightsLeader(s);
+    logLimitedUse(s);
     updateReadiness(s);
     if (!s.state.stopping) {
         return;
@@ -286,6 +287,7 @@
                     [&](const upstream_leave_announced &announced) {
                         onUpstreamLeaveAnnounced(s, announced);
                     },
+                    [&](const upstream_limit_read &read) { onUpstreamLimitRead(s, read); },
                     [&](const upstream_delta_requested &request) { onUpstreamDeltaRequested(s, request); },
                     [&](const upstream_delta_received &received) {
                         closeOperation(received.op, [&](const operation_purpose &) {
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -105,6 +105,7 @@
     owned_item &item = batch.items[index];
     upstream_view &view = s.state.upstreams.at(target);
     ++view.running;
+    recordSent(s, view, item.firstStartedAt != instant{});
     item.reservedTokens = expectedTokens(s.state, view.entry.service, item);
     view.reservedTokens += item.reservedTokens;
     item.phase = item_phase::running;
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -356,7 +356,7 @@
     running.handle = m_client->start(
             m_port->encodeRun(run),
             {[this, op, decoder, upstream = run.upstream](int status, const http_headers &headers) {
-                 readLeaveNotice(op, upstream, status, headers);
+                 readNotices(op, upstream, status, headers);
                  decoder->onResponseHead(status, headers);
              },
              [this, op, decoder](const std::string &bytes) {
@@ -377,7 +377,7 @@
     http_call_listener listener;
     if (!upstream.empty()) {
         listener.onHead = [this, op, upstream](int status, const http_headers &headers) {
-            readLeaveNotice(op, upstream, status, headers);
+            readNotices(op, upstream, status, headers);
         };
     }
     listener.onFinished = [this, op, decode = std::move(decode)](const http_call_finished &finished) {
@@ -387,8 +387,7 @@
     m_calls[op].handle = m_client->start(call, std::move(listener));
 }
 
-void node_runtime::readLeaveNotice(op_id op, const upstream_id &upstream, int status,
-                                   const http_headers &headers)
+void node_runtime::readNotices(op_id op, const upstream_id &upstream, int status, const http_headers &headers)
 {
     switch (m_port->decodeLeaveNotice(status, headers)) {
     case leave_notice::none:
@@ -401,6 +400,17 @@
                 {"leave-notice-unreadable", upstream.value, "ignored; the next response repeats the notice"});
         break;
     }
+    const rate_limit_notice limit = m_port->decodeRateLimit(status, headers);
+    if (limit.malformed) {
+        writeLog(
+                {"limit-notice-unreadable", upstream.value, "ignored; the next response repeats the notice"});
+        return;
+    }
+    const auto view = m_state.upstreams.find(upstream);
+    const bool isLimited = view != m_state.upstreams.end() && view->second.limit.perSecond > 0;
+    if (limit.requestsPerSecond || isLimited) {
+        post(upstream_limit_read{op, upstream, limit.requestsPerSecond});
+    }
 }
 
 void node_runtime::cancel(op_id op)
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -55,7 +55,8 @@
     /// a call to a peer.
     void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
                    const upstream_id &upstream = {});
-    void readLeaveNotice(op_id op, const upstream_id &upstream, int status, const http_headers &headers);
+    /// Posts what the head of an upstream's response says about the upstream itself.
+    void readNotices(op_id op, const upstream_id &upstream, int status, const http_headers &headers);
     void cancel(op_id op);
     void writeLog(const log_decision &entry);
     /// Ends the event loop once all replies are sent, or when the stop grace time is over; until then it
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -112,6 +112,13 @@
 /// Applies the row of another daemon.
 void onLeavingRow(step &s, const row &received);
 
+// Upstreams that limit the requests per second (node_limits.cpp).
+void onUpstreamLimitRead(step &s, const upstream_limit_read &read);
+/// Records a request that is sent to the upstream. @param isRepeated the call or run was sent before.
+void recordSent(step &s, upstream_view &view, bool isRepeated);
+/// Logs the requests that were sent to limited upstreams.
+void logLimitedUse(step &s);
+
 // Batches: accept, commit results, end (node_batches.cpp), read results (node_pages.cpp), take over
 // (node_takeover.cpp).
 void onBatchReceived(step &s, const batch_received &request);
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -333,6 +333,23 @@
     }
 }
 
+TEST(platform_wire, requestLimitIsADecimalNumber)
+{
+    const auto limitOf = [](int status, const http_headers &headers) {
+        return platform::decodeRateLimit(status, headers).requestsPerSecond;
+    };
+    for (const int status : {200, 202, 409, 422, 429, 500, 503, 504}) {
+        EXPECT_EQ(limitOf(status, {{platform::kRateLimitHeader, "2.5"}}), 2.5) << status;
+        EXPECT_EQ(limitOf(status, {}), std::nullopt) << status;
+    }
+    EXPECT_EQ(limitOf(200, {{"server-limit", "0"}}), 0.0);
+    // Another upstream has the address; it speaks of itself.
+    EXPECT_EQ(limitOf(421, {{platform::kRateLimitHeader, "2"}}), std::nullopt);
+    for (const char *value : {"", "-1", "nan", "inf", "2 per s", "1e999"}) {
+        EXPECT_TRUE(platform::decodeRateLimit(200, {{platform::kRateLimitHeader, value}}).malformed) << value;
+    }
+}
+
 // A response without the id of its request may be a late copy of another one.
 TEST(platform_wire, streamWithoutTheIdOfItsItemProducesNothing)
 {
