Failing test: a fleet exceeds the limit that an upstream names

The simulated upstreams now name limits and check each request against them. node_limits.fleetTogetherStaysWithinTheLimitOfAnUpstream fails; known red.

--- a/src/node_limits.cpp
+++ b/src/node_limits.cpp
@@ -38,8 +38,8 @@
     const double perSecond = read.requestsPerSecond ? std::max(kMinLimit, *read.requestsPerSecond) : 0;
     if (limit.perSecond != perSecond) {
         s.log(perSecond > 0 ? "upstream-limited" : "upstream-limit-lifted", read.upstream.value,
-              "requests per second from all daemons: " + formatRate(perSecond) + ", before: "
-                      + formatRate(limit.perSecond));
+              "requests per second from all daemons: " + formatRate(perSecond)
+                      + ", before: " + formatRate(limit.perSecond));
     }
     limit = {perSecond, storeTime(s.state, s.ctx.now)};
 }
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -8,6 +8,7 @@
 
 #include <jacinthvale/node.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -36,6 +37,13 @@
     bool announcesLeave = false;
     /// Daemons, with their generation, that received the announcement.
     std::set<std::pair<std::size_t, std::uint64_t>> announcedTo;
+    /// Requests per second that it names in each response as its limit for all daemons together.
+    std::optional<double> namedLimit;
+    instant limitNamedAt{};
+    /// When each daemon, with its generation, first received the limit.
+    std::map<std::pair<std::size_t, std::uint64_t>, instant> limitToldAt;
+    /// Requests of daemons that had received the limit early enough.
+    std::deque<instant> limitedRequests;
     /// False when its row is deleted from the table of upstreams.
     bool registered = true;
     /// Number of accepted weight orders.
@@ -143,6 +151,8 @@
     static node::batch makeBatch(const std::string &id, const std::string &model, std::uint64_t minVersion,
                                  const std::vector<unsigned> &chunkCounts);
 
+    /// The upstream names this limit from now on; nullopt lifts it.
+    void setLimit(std::size_t upstream, std::optional<double> perSecond);
     simulated_upstream &upstream(std::size_t index) { return m_upstreams.at(index); }
     const node::node_state &state(std::size_t daemon) const { return *m_daemons.at(daemon).state; }
     /// State of the daemon that owns a batch; of the first daemon if none does.
@@ -210,6 +220,8 @@
     void scheduleHead(std::size_t daemon, node::op_id op, const upstream_id &upstream);
     /// Checks that a request is not sent after the upstream announced to this daemon that it is leaving.
     void checkNotLeaving(std::size_t daemon, const upstream_id &upstream, const std::string &request);
+    /// Checks that an upstream gets no more requests than its limit allows.
+    void checkLimit(std::size_t daemon, const upstream_id &upstream);
     void checkRewardCall(const node::forward_call &request);
     void checkScore(const node::item_result &result);
     void orderWeights(std::size_t daemon, const node::order_weights &request);
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -13,6 +13,13 @@
 constexpr milliseconds kLoadTime{900};
 /// Time until the head of a response arrives.
 constexpr milliseconds kHeadLatency{1};
+/// Time after which a limit that an upstream names holds for all daemons, and the time that one daemon has.
+constexpr milliseconds kContactTime{3000};
+constexpr milliseconds kLimitReactionTime{500};
+/// An upstream may receive this multiple of its limit and a burst of requests beyond it in any such window.
+constexpr milliseconds kLimitWindow{4000};
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitBurst = 5;
 /// Time after the end of a batch within which the daemons must stop its work.
 constexpr milliseconds kCancelTime{3000};
 
@@ -35,15 +42,56 @@
 {
     simulated_upstream *target = findUpstream(upstream);
     const simulated_process &receiver = m_daemons.at(daemon);
-    if (!target->announcesLeave || receiver.generation != generation) {
+    if (receiver.generation != generation) {
         return;
     }
     if (receiver.frozenUntil > m_now) {
         schedule(receiver.frozenUntil, [=, this] { deliverHead(daemon, generation, op, upstream); });
         return;
     }
-    target->announcedTo.emplace(daemon, generation);
-    deliver(daemon, generation, upstream_leave_announced{op, upstream});
+    if (target->namedLimit) {
+        target->limitToldAt.try_emplace({daemon, generation}, m_now);
+    }
+    const auto view = receiver.state->upstreams.find(upstream);
+    const bool isLimited = view != receiver.state->upstreams.end() && view->second.limit.perSecond > 0;
+    if (target->namedLimit || isLimited) {
+        deliver(daemon, generation, upstream_limit_read{op, upstream, target->namedLimit});
+    }
+    if (target->announcesLeave) {
+        target->announcedTo.emplace(daemon, generation);
+        deliver(daemon, generation, upstream_leave_announced{op, upstream});
+    }
+}
+
+void node_simulation::setLimit(std::size_t upstream, std::optional<double> perSecond)
+{
+    simulated_upstream &target = m_upstreams.at(upstream);
+    target.namedLimit = perSecond;
+    target.limitNamedAt = m_now;
+    target.limitToldAt.clear();
+    target.limitedRequests.clear();
+}
+
+void node_simulation::checkLimit(std::size_t daemon, const upstream_id &upstream)
+{
+    simulated_upstream *target = findUpstream(upstream);
+    const auto told = target->limitToldAt.find({daemon, m_daemons.at(daemon).generation});
+    if (!target->namedLimit || told == target->limitToldAt.end()
+        || m_now - told->second < kLimitReactionTime) {
+        return;
+    }
+    target->limitedRequests.push_back(m_now);
+    while (m_now - target->limitedRequests.front() > kLimitWindow) {
+        target->limitedRequests.pop_front();
+    }
+    const double windowSeconds = std::chrono::duration<double>(kLimitWindow).count();
+    const double allowed = kLimitTolerance * *target->namedLimit * windowSeconds + kLimitBurst;
+    if (m_now - target->limitNamedAt >= kContactTime
+        && static_cast<double>(target->limitedRequests.size()) > allowed) {
+        addViolation(upstream.value + " received " + std::to_string(target->limitedRequests.size())
+                     + " requests in 4 s, its limit is " + std::to_string(*target->namedLimit)
+                     + " per second");
+    }
 }
 
 void node_simulation::scheduleHead(std::size_t daemon, op_id op, const upstream_id &upstream)
@@ -63,6 +111,7 @@
 void node_simulation::startRun(std::size_t daemon, const run_item &request)
 {
     checkNotLeaving(daemon, request.upstream, "run of " + request.item.id.value);
+    checkLimit(daemon, request.upstream);
     ++m_runsStarted;
     ++m_runsPerUpstream[request.upstream];
     simulated_upstream *target = findUpstream(request.upstream);
@@ -129,6 +178,7 @@
 {
     ++m_runsPerUpstream[request.upstream];
     checkNotLeaving(daemon, request.upstream, "call " + request.call.id.value);
+    checkLimit(daemon, request.upstream);
     checkRewardCall(request);
     simulated_upstream *target = findUpstream(request.upstream);
     if (target->up && target->callBehaviour == call_behaviour::refuses) {
@@ -310,6 +360,7 @@
     target.entry.startedAtMs += 1000;
     target.announcesLeave = false;
     target.announcedTo.clear();
+    target.namedLimit.reset();
 }
 
 } // namespace jacinthvale::test
