All daemons together stay within the limit that an upstream names

Seen: upstreams got up to three times the requests that their named limit allows. Ruled out by the new log lines: repeats (none), hosts that hold back alone (the rate did not change).

Daemons now tell limits and their demand in a row beside the heartbeat, and each has units of a limit in proportion to its demand. Calls, reward calls, runs, hedges and moves all ask for a token where upstreams are chosen. By design at most 6 L + 3 requests in 4 s, also after an idle time.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -203,6 +203,55 @@
     std::uint64_t namedAtMs = 0;
 };
 
+/// A limit that one daemon tells the others.
+struct reported_limit
+{
+    /// Start time of the upstream's process, as in its table entry.
+    std::uint64_t startedAtMs = 0;
+    double perSecond = 0;
+    std::uint64_t namedAtMs = 0;
+
+    auto operator<=>(const reported_limit &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(startedAtMs, perSecond, namedAtMs);
+    }
+};
+
+/// What a daemon tells the others beside its heartbeat, in a row of its own.
+struct daemon_advisory
+{
+    /// Limits that upstreams named to this daemon or lifted, by upstream.
+    std::map<std::string, reported_limit> limits;
+    /// Requests per second that this daemon has for each service with limited upstreams.
+    std::map<std::string, double> demand;
+
+    auto operator<=>(const daemon_advisory &) const = default;
+};
+
+/// Progress of writing a row that goes with the heartbeats.
+struct row_publication
+{
+    /// The row has to be written with the next heartbeat.
+    bool changed = false;
+    /// The heartbeat in progress writes the row.
+    bool writing = false;
+};
+
+/// Events per second, smoothed over the last seconds.
+class event_rate
+{
+public:
+    void add(double events, instant now);
+    double perSecond(instant now) const;
+
+private:
+    double m_perSecond = 0;
+    instant m_updatedAt{};
+};
+
 /// Requests that this daemon sent to a limited upstream since the last log line.
 struct limited_use
 {
@@ -245,6 +294,11 @@
     /// Operations up to this one were sent to an earlier process with the same id.
     op_id lastEarlierOp;
     rate_limit limit;
+    /// Share of this daemon in the limit, in requests per second, and the requests that it may send at once.
+    double limitShare = 0;
+    double limitBurst = 0;
+    /// Requests that this daemon may send now without exceeding its share.
+    double limitTokens = 0;
     limited_use limitedUse;
 };
 
@@ -512,10 +566,7 @@
 {
     /// Announced to this daemon before any other daemon reported them.
     leaving_upstreams upstreams;
-    /// The row has to be written with the next heartbeat.
-    bool changed = false;
-    /// The heartbeat in progress writes the row.
-    bool writing = false;
+    row_publication publication;
 };
 
 /// State of a daemon.
@@ -535,6 +586,14 @@
     /// Announced to this daemon or to any other one.
     leaving_upstreams leavingUpstreams;
     leaving_advertisement leavingAdvertisement;
+    /// What this daemon tells the others, and what they told last.
+    daemon_advisory ownAdvisory;
+    row_publication advisoryPublication;
+    std::map<host_id, daemon_advisory> peerAdvisories;
+    /// Requests that this daemon has for each service.
+    std::map<service_id, event_rate> demand;
+    instant nextLimitShareAt{};
+    instant limitTokensAt{};
     /// Removed upstreams, oldest first, with the table's version at the removal; sent to daemons that request
     /// an upstream_delta.
     std::deque<std::pair<std::uint64_t, upstream_id>> removedUpstreams;
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -99,6 +99,7 @@
     markSurplus(batch);
     reuseOutputs(s, batch);
     owned_batch &adopted = s.state.owned.insert_or_assign(id, std::move(batch)).first->second;
+    recordBatchDemand(s, adopted);
     startRewards(s);
     startRuns(s);
     commitFinished(s, adopted);
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -146,7 +146,12 @@
     const service_id service = pickService(call.matchedRoute, stableHash(call.call.id.value));
     const auto priority = std::holds_alternative<reward_origin>(origin) ? call_priority::background
                                                                         : call_priority::interactive;
-    const auto target = placeCall(s.state, service, call.tried, priority, s.ctx.now);
+    std::set<upstream_id> excluded = call.tried;
+    if (!call.running.empty()) {
+        // A hedge must not use the share of another call in the limit of an upstream.
+        excluded.merge(limitedUpstreams(s.state, service));
+    }
+    const auto target = placeCall(s.state, service, excluded, priority, s.ctx.now);
     if (!target) {
         return false;
     }
@@ -174,7 +179,7 @@
         return;
     }
     refuseCall(s, origin, call.mayHaveRun ? refusal::may_have_run : refusal::not_run,
-               call.sent == 0 ? "no upstream available"
+               call.sent == 0 ? "no upstream available, or those that are limit their requests"
                               : "route allows no further attempt, or no other upstream available");
 }
 
@@ -242,6 +247,7 @@
     call_state newCall;
     newCall.call = call;
     newCall.matchedRoute = *matched;
+    recordDemand(s, pickService(*matched, stableHash(call.id.value)), 1);
     newCall.repeatable = matched->kind == route_kind::repeatable;
     startCall(s, exchange, std::move(newCall));
 }
--- a/src/node_leaving.cpp
+++ b/src/node_leaving.cpp
@@ -58,27 +58,15 @@
     const std::uint64_t startedAtMs = view->second.entry.startedAtMs;
     if (recordLeaving(s, announced.upstream, startedAtMs, "announced in a response")) {
         s.state.leavingAdvertisement.upstreams[announced.upstream] = startedAtMs;
-        s.state.leavingAdvertisement.changed = true;
+        s.state.leavingAdvertisement.publication.changed = true;
     }
 }
 
-std::optional<row_put> takeLeavingRow(step &s)
+row_put leavingRow(step &s)
 {
-    leaving_advertisement &advertisement = s.state.leavingAdvertisement;
-    advertisement.writing = std::exchange(advertisement.changed, false);
-    if (!advertisement.writing) {
-        return std::nullopt;
-    }
-    forgetRemoved(s.state, advertisement.upstreams);
-    return row_put{table_id::daemons, leavingKey(s.state.self.host), encodeLeaving(advertisement.upstreams)};
-}
-
-void onLeavingRowWritten(step &s, bool committed)
-{
-    leaving_advertisement &advertisement = s.state.leavingAdvertisement;
-    if (std::exchange(advertisement.writing, false) && !committed) {
-        advertisement.changed = true;
-    }
+    leaving_upstreams &upstreams = s.state.leavingAdvertisement.upstreams;
+    forgetRemoved(s.state, upstreams);
+    return {table_id::daemons, leavingKey(s.state.self.host), encodeLeaving(upstreams)};
 }
 
 void onLeavingRow(step &s, const row &received)
--- a/src/node_members.cpp
+++ b/src/node_members.cpp
@@ -134,9 +134,7 @@
                       {},
                       0};
     std::vector<row_put> rows{{table_id::daemons, state.self.host.value, encodeMember(self)}};
-    if (auto leaving = takeLeavingRow(s)) {
-        rows.push_back(*std::move(leaving));
-    }
+    appendAdvisoryRows(s, rows);
     s.emit(commit_rows{s.open(heartbeat_operation{}),
                        memberPartition(state.self.host),
                        {{table_id::daemons, state.self.host.value, state.ownRowVersion}},
@@ -147,7 +145,7 @@
 void onHeartbeatFailed(step &s, const store_failed &failure)
 {
     s.state.heartbeatRunning = false;
-    onLeavingRowWritten(s, false);
+    onAdvisoryRowsWritten(s, false);
     ++s.state.unansweredHeartbeats;
     s.log("heartbeat-failed", s.state.self.host.value,
           failure.reason + "; unanswered " + std::to_string(s.state.unansweredHeartbeats));
@@ -156,7 +154,7 @@
 void onHeartbeatCommitted(step &s, const rows_committed &committed)
 {
     s.state.heartbeatRunning = false;
-    onLeavingRowWritten(s, true);
+    onAdvisoryRowsWritten(s, true);
     s.state.unansweredHeartbeats = 0;
     s.state.ownRowVersion = committed.version;
     s.state.heartbeatDuration = s.ctx.now - s.state.heartbeatSentAt;
@@ -173,7 +171,7 @@
     // The row was written by an earlier heartbeat whose answer was lost, or by the previous process of this
     // host.
     s.state.heartbeatRunning = false;
-    onLeavingRowWritten(s, false);
+    onAdvisoryRowsWritten(s, false);
     s.state.ownRowVersion = conflict.rows.empty() ? 0 : conflict.rows.front().version;
     s.state.nextHeartbeatAt = s.ctx.now;
 }
@@ -184,6 +182,10 @@
         onLeavingRow(s, received);
         return;
     }
+    if (isAdvisoryKey(received.key.key)) {
+        onAdvisoryRow(s, received);
+        return;
+    }
     const host_id host{received.key.key};
     if (host == s.state.self.host) {
         s.state.ownRowVersion = std::max(s.state.ownRowVersion, received.removed ? 0 : received.version);
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -98,7 +98,8 @@
 
 bool isUsable(const node_state &state, const upstream_view &view, const service_id &service, instant now)
 {
-    return view.entry.service == service && !isLeaving(state, view) && view.ejectedUntil <= now;
+    return view.entry.service == service && !isLeaving(state, view) && view.ejectedUntil <= now
+           && hasLimitToken(view);
 }
 
 } // namespace
@@ -270,7 +271,8 @@
     for (const auto &[id, view] : state.upstreams) {
         if (!isUsable(state, view, request.service, now)
             || versionOf(view, request.model) < request.minVersion || view.running >= view.entry.slots
-            || isLoading(state, id, now) || (request.requireFreshLatency && !isLatencyFresh(view, now))) {
+            || isLoading(state, id, now) || (request.requireFreshLatency && !isLatencyFresh(view, now))
+            || (request.avoidLimited && view.limit.perSecond > 0)) {
             continue;
         }
         const auto assigned = request.snapshot->assignment.find(id);
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -84,6 +84,8 @@
     bool requireFreshLatency = false;
     /// Select only upstreams with enough free memory for the run.
     bool requireMemory = false;
+    /// Select only upstreams that do not limit their requests.
+    bool avoidLimited = false;
 };
 
 /// @returns the upstream for a generation, with weights of at least the requested version; none if all are
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -27,6 +27,7 @@
     sendHeartbeat(s);
     claimOrphanedBatches(s);
     expireOverdueItems(s);
+    updateLimitShares(s);
     hedgeAndExpireCalls(s);
     endSilentRuns(s);
     moveStragglers(s);
--- a/src/node_rewards.cpp
+++ b/src/node_rewards.cpp
@@ -116,6 +116,10 @@
 {
     item.phase = item_phase::unscored;
     item.nextRewardAt = s.ctx.now;
+    if (const route *matchedRoute
+        = findRoute(s.state.config, item.item.reward->host, item.item.reward->path)) {
+        recordDemand(s, pickService(*matchedRoute, stableHash(item.item.reward->id.value)), 1);
+    }
     item.timeline.enter(item_stage::scorer_wait, s.ctx.now);
 }
 
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cereal/types/optional.hpp>
+#include <cstring>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
@@ -18,6 +19,8 @@
 /// Ends the key of a row that advertises leaving upstreams. Names of hosts contain no slash.
 constexpr const char *kLeavingKeySuffix = "/leaving-upstreams";
 
+constexpr const char *kAdvisoryKeySuffix = "/advisory";
+
 /// Fields of a batch_item that its row lacks.
 struct item_extension
 {
@@ -293,6 +296,34 @@
     return unpack(source.value, upstreams) ? std::optional(std::move(upstreams)) : std::nullopt;
 }
 
+std::string advisoryKey(const host_id &host)
+{
+    return host.value + kAdvisoryKeySuffix;
+}
+
+bool isAdvisoryKey(const std::string &key)
+{
+    return key.ends_with(kAdvisoryKeySuffix);
+}
+
+host_id advisoryHost(const std::string &key)
+{
+    return {key.substr(0, key.size() - std::strlen(kAdvisoryKeySuffix))};
+}
+
+std::string encodeAdvisory(const daemon_advisory &advisory)
+{
+    return pack(advisory.limits, advisory.demand);
+}
+
+std::optional<daemon_advisory> decodeAdvisory(const row &source)
+{
+    daemon_advisory advisory;
+    return unpack<trailing_bytes::ignore>(source.value, advisory.limits, advisory.demand)
+                   ? std::optional(std::move(advisory))
+                   : std::nullopt;
+}
+
 std::string encodeLease(const lease_row &lease)
 {
     return pack(lease.holder.value, lease.incarnation.value, lease.epoch.value, lease.released, lease.planned,
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -92,6 +92,15 @@
 std::string encodeLeaving(const leaving_upstreams &upstreams);
 std::optional<leaving_upstreams> decodeLeaving(const row &source);
 
+/// Key of the row with the advisory of a daemon.
+std::string advisoryKey(const host_id &host);
+bool isAdvisoryKey(const std::string &key);
+/// @returns the host of the daemon that wrote the row.
+host_id advisoryHost(const std::string &key);
+std::string encodeAdvisory(const daemon_advisory &advisory);
+/// Values that a newer build appends are ignored.
+std::optional<daemon_advisory> decodeAdvisory(const row &source);
+
 /// Row of the weights lease.
 struct lease_row
 {
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -326,7 +326,7 @@
     }
     const auto target = placeRun(s.state,
                                  {service, batch.spec.model, batch.spec.minVersion, &snapshot,
-                                  expectedTokens(s.state, service, item), false, true, stalled},
+                                  expectedTokens(s.state, service, item), false, true, stalled, true},
                                  s.ctx.now);
     if (!target || *target == item.upstream || stalled) {
         return target == item.upstream ? std::nullopt : target;
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -104,16 +104,37 @@
 /// True if the upstream gets no new work because it is leaving, by its table entry or by its announcement.
 bool isLeaving(const node_state &state, const upstream_view &view);
 void onUpstreamLeaveAnnounced(step &s, const upstream_leave_announced &announced);
-/// Row that tells other daemons of leaving upstreams, for the heartbeat that is about to be sent; none if it
-/// has not changed.
-std::optional<row_put> takeLeavingRow(step &s);
-/// The heartbeat in progress ended. @param committed its rows were written.
-void onLeavingRowWritten(step &s, bool committed);
+/// @returns the row that tells other daemons of leaving upstreams.
+row_put leavingRow(step &s);
 /// Applies the row of another daemon.
 void onLeavingRow(step &s, const row &received);
 
-// Upstreams that limit the requests per second (node_limits.cpp).
+// What daemons tell each other beside their heartbeats (node_advisories.cpp).
+/// Starts to write a row. @returns true if it has to be part of the heartbeat that is about to be sent.
+bool beginPublication(row_publication &publication);
+/// The heartbeat in progress ended. @param committed its rows were written.
+void endPublication(row_publication &publication, bool committed);
+/// Appends the rows beside the heartbeat that have changed.
+void appendAdvisoryRows(step &s, std::vector<row_put> &rows);
+void onAdvisoryRowsWritten(step &s, bool committed);
+/// Applies the advisory of a daemon; that of this host comes from its former process.
+void onAdvisoryRow(step &s, const row &received);
+
+// Upstreams that limit the requests per second of all daemons together (node_limits.cpp).
 void onUpstreamLimitRead(step &s, const upstream_limit_read &read);
+/// Applies the limits that another daemon reports.
+void applyReportedLimits(step &s, const daemon_advisory &advisory, const std::string &source);
+/// Sets limits and demand of the own advisory. @returns true if other daemons need them now.
+bool updateOwnLimits(step &s);
+/// Records requests that this daemon has for a service, whether they can be sent or not.
+void recordDemand(step &s, const service_id &service, double requests);
+void recordBatchDemand(step &s, const owned_batch &batch);
+/// Computes the shares of this daemon in the limits, and what it may send by now.
+void updateLimitShares(step &s);
+/// True if the upstream has no limit, or this daemon may send it a request now.
+bool hasLimitToken(const upstream_view &view);
+/// @returns the limited upstreams of a service.
+std::set<upstream_id> limitedUpstreams(const node_state &state, const service_id &service);
 /// Records a request that is sent to the upstream. @param isRepeated the call or run was sent before.
 void recordSent(step &s, upstream_view &view, bool isRepeated);
 /// Logs the requests that were sent to limited upstreams.
