Broken and refused calls log a hash of their content

The incident's logs cannot tell whether the calls that broke at the ends of upstreams were the same request: each arrival has its own id. call-broken and call-refused now have the field content; call-broken tells duration, attempt and other attempts in progress. No logic is changed.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -378,9 +378,14 @@
 /// Who waits for the answer to a forwarded call.
 using call_origin = std::variant<exchange_id, reward_origin>;
 
+/// Hash of what makes two calls of callers the same request: method, host, path, query and body. The id and
+/// other headers differ each time.
+using content_hash = number_id<struct content_tag>;
+
 struct call_state
 {
     client_call call;
+    content_hash content;
     route matchedRoute;
     instant arrivedAt{};
     instant deadline{};
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -1,6 +1,7 @@
 #include "node_placement.h"
 #include "node_step.h"
 
+#include <absl/strings/str_format.h>
 #include <algorithm>
 
 namespace jacinthvale::node {
@@ -40,6 +41,18 @@
 /// Time until a hedge is tried again if no other upstream was available.
 constexpr milliseconds kHedgeRetryInterval{100};
 
+content_hash contentOf(const client_call &call)
+{
+    return content_hash{
+            stableHash(call.body, stableHash(call.method + '\n' + call.host + '\n' + call.target))};
+}
+
+/// @returns the log field by which calls with the same content are found.
+log_fields contentField(const call_state &call)
+{
+    return {{"content", absl::StrFormat("%016x", call.content.value)}};
+}
+
 void countCallOutcome(step &s, const std::string &outcome)
 {
     s.emit(count{"calls_total{end=\"" + outcome + "\"}"});
@@ -112,7 +125,7 @@
     call_state &call = ended.mapped();
     cancelAttempts(s, call);
     std::visit(overloaded{[&](exchange_id exchange) {
-                              s.log("call-refused", call.call.id.value, reason);
+                              s.log("call-refused", call.call.id.value, reason, contentField(call));
                               countCallOutcome(s, "refused");
                               s.emit(refuse_call{exchange, kind,
                                                  kind == refusal::not_run ? kRetryAfter : milliseconds{0}});
@@ -246,6 +259,7 @@
     }
     call_state newCall;
     newCall.call = call;
+    newCall.content = contentOf(call);
     newCall.matchedRoute = *matched;
     recordDemand(s, pickService(*matched, stableHash(call.id.value)), 1);
     newCall.repeatable = matched->kind == route_kind::repeatable;
@@ -297,7 +311,12 @@
     case call_end::incomplete:
     case call_end::timed_out:
         call.mayHaveRun = true;
-        s.log("call-broken", call.call.id.value, operation.upstream.value);
+        s.log("call-broken", call.call.id.value,
+              operation.upstream.value + (ended.end == call_end::timed_out ? " timed out" : " broke off")
+                      + " after " + std::to_string(static_cast<std::int64_t>(durationMs)) + " ms, attempt "
+                      + std::to_string(call.tried.size()) + ", others in progress "
+                      + std::to_string(call.running.size()),
+              contentField(call));
         ejectUpstream(s, operation.upstream, kBrokenCallEjection, "call did not complete");
         break;
     }
