--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -130,6 +130,15 @@
         m_changes.clear();
         m_historyFrom = m_version;
     }
+    /// Calls to this path crash each upstream that runs them; it is back after a while.
+    void crashOn(const std::string &path) { m_crashingCalls[path]; }
+    /// Number of upstreams that crashed under calls to the path, and of calls that were sent later than the
+    /// daemons need to learn of the third crash.
+    std::size_t crashesOf(const std::string &path) const { return m_crashingCalls.at(path).crashes; }
+    std::size_t sentAfterThirdCrash(const std::string &path) const
+    {
+        return m_crashingCalls.at(path).sentLate;
+    }
     /// Crashes an upstream; its row is deleted after three heartbeat intervals.
     void crashUpstream(std::size_t upstream);
     /// Pauses the newest run of an upstream, as an upstream that is out of memory does.
@@ -224,6 +233,8 @@
     void checkLimit(std::size_t daemon, const upstream_id &upstream);
     void checkRewardCall(const node::forward_call &request);
     void checkScore(const node::item_result &result);
+    /// Runs a call that crashes its upstream.
+    void crashUnder(const node::forward_call &request);
     void orderWeights(std::size_t daemon, const node::order_weights &request);
     void reportStatus(std::size_t daemon, const node::request_upstream_status &request);
     void writeUpstreamHeartbeats();
@@ -291,6 +302,13 @@
     std::map<exchange_id, node::batch_id> m_endRequests;
     std::map<node::batch_id, instant> m_batchEndedAt;
     std::set<std::string> m_failingCalls;
+    struct crashing_call
+    {
+        std::size_t crashes = 0;
+        instant thirdCrashAt{};
+        std::size_t sentLate = 0;
+    };
+    std::map<std::string, crashing_call> m_crashingCalls;
     std::size_t m_rewardCallsReceived = 0;
     std::size_t m_rewardCallsRun = 0;
     std::vector<std::shared_ptr<std::function<void()>>> m_ticks;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds kLimitWindow{4000};
 constexpr double kLimitTolerance = 1.5;
 constexpr double kLimitBurst = 5;
+/// Time until a call crashes its upstream, and until the upstream is back.
+constexpr milliseconds kCrashDelay{20};
+constexpr milliseconds kRestartTime{3000};
 /// Time after the end of a batch within which the daemons must stop its work.
 constexpr milliseconds kCancelTime{3000};
 
@@ -188,6 +191,7 @@
         deliverAfter(daemon, milliseconds{2}, call_ended{request.op, call_end::not_run, 0, {}, {}});
         return;
     }
+    crashUnder(request);
     ++target->calls;
     target->maxCalls = std::max(target->maxCalls, target->calls);
     m_calls[{daemon, request.op}] = request.upstream;
@@ -198,6 +202,28 @@
     schedule(m_now + target->interChunkLatency, [=, this] { answerForwardedCall(daemon, request); });
 }
 
+void node_simulation::crashUnder(const forward_call &request)
+{
+    const auto found = m_crashingCalls.find(request.call.target);
+    if (found == m_crashingCalls.end()) {
+        return;
+    }
+    crashing_call &crashing = found->second;
+    crashing.sentLate += crashing.crashes >= 3 && m_now - crashing.thirdCrashAt > kContactTime ? 1 : 0;
+    schedule(m_now + kCrashDelay, [this, id = request.upstream, &crashing] {
+        simulated_upstream *target = findUpstream(id);
+        if (!target->up) {
+            return;
+        }
+        if (++crashing.crashes == 3) {
+            crashing.thirdCrashAt = m_now;
+        }
+        const auto index = static_cast<std::size_t>(target - m_upstreams.data());
+        crashUpstream(index);
+        schedule(m_now + kRestartTime, [this, index] { restoreUpstream(index); });
+    });
+}
+
 void node_simulation::answerForwardedCall(std::size_t daemon, const forward_call &request)
 {
     if (!m_calls.contains({daemon, request.op})) {
