A content that crashed three upstreams is not sent again by any daemon

Seen: a request that comes again crashed twelve upstreams; with each round all upstreams of the service were gone and its other callers refused. Cause: attempts are bounded for each arrival by its id, and nothing remembers, here or at another daemon, what the same content did before. Evidence: the new field content is the same in call-broken at all ends of upstreams in the simulation; one arrival alone takes two.

A call that breaks off or times out makes its content suspect; the advisory tells the other daemons, at once from the second upstream on. Signs of life of the upstream and answers to the content withdraw it, so damaged and lost answers do not count. Three ended processes quarantine the content for an hour: refused at once as not run. Items and reward calls are exempt. The suspicions of the former process are read back at the start.

The simulated upstreams no longer write heartbeats while they are down.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -220,6 +220,39 @@
     }
 };
 
+/// Hash of what makes two calls of callers the same request: method, host, path, query and body. The id and
+/// other headers differ each time.
+using content_hash = number_id<struct content_tag>;
+
+/// A call of a caller broke off at an upstream that has shown no sign of life since: the call may have
+/// crashed it.
+struct suspected_crash
+{
+    std::uint64_t content = 0;
+    std::string upstream;
+    /// Start time of the upstream's process, as in its table entry.
+    std::uint64_t startedAtMs = 0;
+    /// Store time.
+    std::uint64_t brokeAtMs = 0;
+
+    auto operator<=>(const suspected_crash &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(content, upstream, startedAtMs, brokeAtMs);
+    }
+};
+
+/// What is known of a content under which upstreams may have crashed.
+struct suspected_content
+{
+    /// Upstream processes by id and start time.
+    std::set<std::pair<std::string, std::uint64_t>> crashed;
+    /// Store time of the last answer to a call with this content; earlier crashes have another cause.
+    std::uint64_t answeredAtMs = 0;
+};
+
 /// What a daemon tells the others beside its heartbeat, in a row of its own.
 struct daemon_advisory
 {
@@ -227,6 +260,10 @@
     std::map<std::string, reported_limit> limits;
     /// Requests per second that this daemon has for each service with limited upstreams.
     std::map<std::string, double> demand;
+    /// Crashes that this daemon suspects, oldest first.
+    std::vector<suspected_crash> crashes;
+    /// Store times of the last answers to calls with suspected contents.
+    std::map<std::uint64_t, std::uint64_t> answeredContents;
 
     auto operator<=>(const daemon_advisory &) const = default;
 };
@@ -290,7 +327,11 @@
     std::uint64_t lastChangeVersion = 0;
     /// Smoothed duration of forwarded calls relative to the mean of their routes; 0 if unknown.
     double relativeCallDuration = 0;
+    /// Version of the row as read from the store; 0 if it was read from another daemon.
     std::uint64_t rowVersion = 0;
+    /// The process ran at this time: it answered a call that was sent then, or its row shows a later
+    /// heartbeat.
+    instant aliveAt{};
     /// Operations up to this one were sent to an earlier process with the same id.
     op_id lastEarlierOp;
     rate_limit limit;
@@ -327,6 +368,9 @@
     unsigned failedPeerReads = 0;
     /// The read in progress; 0 if none.
     op_id readOp;
+    instant readSentAt{};
+    /// Changes that the next read from the store returns were written later than this.
+    instant snapshotAt{};
     instant nextAt{};
     instant answeredAt{};
     /// Time since which answers have arrived without a gap longer than maxAnswerGap().
@@ -378,10 +422,6 @@
 /// Who waits for the answer to a forwarded call.
 using call_origin = std::variant<exchange_id, reward_origin>;
 
-/// Hash of what makes two calls of callers the same request: method, host, path, query and body. The id and
-/// other headers differ each time.
-using content_hash = number_id<struct content_tag>;
-
 struct call_state
 {
     client_call call;
@@ -594,7 +634,11 @@
     /// What this daemon tells the others, and what they told last.
     daemon_advisory ownAdvisory;
     row_publication advisoryPublication;
+    /// The advisory does not wait for the next regular heartbeat.
+    bool advisoryUrgent = false;
     std::map<host_id, daemon_advisory> peerAdvisories;
+    /// Contents under which upstreams may have crashed, from all advisories.
+    std::map<content_hash, suspected_content> suspectedContents;
     /// Requests that this daemon has for each service.
     std::map<service_id, event_rate> demand;
     instant nextLimitShareAt{};
--- a/src/node_advisories.cpp
+++ b/src/node_advisories.cpp
@@ -26,6 +26,7 @@
     if (updateOwnLimits(s)) {
         state.advisoryPublication.changed = true;
     }
+    state.advisoryUrgent = false;
     if (beginPublication(state.advisoryPublication)) {
         rows.push_back({table_id::daemons, advisoryKey(state.self.host), encodeAdvisory(state.ownAdvisory)});
     }
@@ -49,8 +50,22 @@
     }
     const host_id host = advisoryHost(received.key.key);
     applyReportedLimits(s, *advisory, host.value);
-    if (host != s.state.self.host) {
-        s.state.peerAdvisories[host] = *std::move(advisory);
+    node_state &state = s.state;
+    if (host == state.self.host) {
+        // Only the row of the former process is news.
+        if (state.heartbeatCount == 0) {
+            state.ownAdvisory.crashes = std::move(advisory->crashes);
+            state.ownAdvisory.answeredContents = std::move(advisory->answeredContents);
+            updateSuspectedContents(s);
+        }
+        return;
+    }
+    daemon_advisory &known = state.peerAdvisories[host];
+    const bool sameSuspicions
+            = known.crashes == advisory->crashes && known.answeredContents == advisory->answeredContents;
+    known = *std::move(advisory);
+    if (!sameSuspicions) {
+        updateSuspectedContents(s);
     }
 }
 
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -26,6 +26,9 @@
 /// duration of a few calls.
 constexpr milliseconds kRetryAfter{100};
 
+/// Retry-after delay for callers whose request would crash one more upstream.
+constexpr milliseconds kQuarantineRetryAfter{60'000};
+
 /// Transfer time of a response to the caller; responses are sent this long before the caller's timeout.
 constexpr milliseconds kResponseTransferTime{20};
 
@@ -119,7 +122,8 @@
 }
 
 /// Ends a call without an answer of an upstream.
-void refuseCall(step &s, const call_origin &origin, refusal kind, const std::string &reason)
+void refuseCall(step &s, const call_origin &origin, refusal kind, const std::string &reason,
+                milliseconds retryAfter = kRetryAfter)
 {
     auto ended = s.state.calls.extract(origin);
     call_state &call = ended.mapped();
@@ -128,7 +132,7 @@
                               s.log("call-refused", call.call.id.value, reason, contentField(call));
                               countCallOutcome(s, "refused");
                               s.emit(refuse_call{exchange, kind,
-                                                 kind == refusal::not_run ? kRetryAfter : milliseconds{0}});
+                                                 kind == refusal::not_run ? retryAfter : milliseconds{0}});
                           },
                           [&](const reward_origin &reward) { onRewardUnanswered(s, reward, call, reason); }},
                origin);
@@ -151,9 +155,16 @@
                origin);
 }
 
+/// Items and their reward calls are owed whatever happens to the upstreams that run them.
+bool mayCrashUpstreams(const call_origin &origin)
+{
+    return std::holds_alternative<exchange_id>(origin);
+}
+
 bool startAttempt(step &s, const call_origin &origin, call_state &call)
 {
-    if (call.sent >= call.matchedRoute.maxAttempts) {
+    if (call.sent >= call.matchedRoute.maxAttempts
+        || (mayCrashUpstreams(origin) && isQuarantined(s.state, call.content))) {
         return false;
     }
     const service_id service = pickService(call.matchedRoute, stableHash(call.call.id.value));
@@ -191,7 +202,13 @@
     if (mayRepeat && s.ctx.now < call.deadline && startAttempt(s, origin, call)) {
         return;
     }
-    refuseCall(s, origin, call.mayHaveRun ? refusal::may_have_run : refusal::not_run,
+    const refusal kind = call.mayHaveRun ? refusal::may_have_run : refusal::not_run;
+    if (mayCrashUpstreams(origin) && isQuarantined(s.state, call.content)) {
+        s.emit(count{"calls_quarantined"});
+        refuseCall(s, origin, kind, "upstreams crash under this content", kQuarantineRetryAfter);
+        return;
+    }
+    refuseCall(s, origin, kind,
                call.sent == 0 ? "no upstream available, or those that are limit their requests"
                               : "route allows no further attempt, or no other upstream available");
 }
@@ -278,13 +295,16 @@
     if (attempt == call.running.end()) {
         return;
     }
-    const auto durationMs = static_cast<double>((s.ctx.now - attempt->startedAt).count());
+    const instant sentAt = attempt->startedAt;
+    const auto durationMs = static_cast<double>((s.ctx.now - sentAt).count());
     call.running.erase(attempt);
     switch (ended.end) {
     case call_end::complete:
     case call_end::failed:
     case call_end::permanently_rejected: {
         recordCallDuration(s, operation.upstream, call.matchedRoute, durationMs);
+        recordSignOfLife(s, operation.upstream, sentAt);
+        recordContentAnswered(s, call.content);
         if (ended.end == call_end::failed && ended.status == kServerError) {
             ++call.failures;
         }
@@ -318,6 +338,9 @@
                       + std::to_string(call.running.size()),
               contentField(call));
         ejectUpstream(s, operation.upstream, kBrokenCallEjection, "call did not complete");
+        if (mayCrashUpstreams(operation.origin)) {
+            suspectCrash(s, call.content, operation.upstream);
+        }
         break;
     }
     if (call.running.empty()) {
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -44,6 +44,9 @@
 /// Share of the store's read capacity that feeds may use; pages, items and takeovers need the rest.
 constexpr double kFeedReadShare = 0.5;
 
+/// Longest time from the heartbeat of an upstream to the change of its row: the store may apply writes late.
+constexpr milliseconds kMaxHeartbeatDelay{6000};
+
 /// Delay before a failed read is retried.
 constexpr milliseconds kReadRetryDelay{100};
 
@@ -66,6 +69,7 @@
 void startRead(step &s, table_feed &feed)
 {
     feed.readOp = s.open(feed_operation{feed.table});
+    feed.readSentAt = s.ctx.now;
     if (const auto peer = upstreamDeltaSource(s, feed)) {
         s.emit(request_upstream_delta{feed.readOp, *peer, isFullReadPending(feed) ? 0 : feed.version});
         return;
@@ -144,6 +148,19 @@
                change.decodedRow);
 }
 
+/// A row that changed since the last read shows a heartbeat of its upstream.
+void recordHeartbeatRow(step &s, const table_feed &feed, const row &changed)
+{
+    const auto found = s.state.upstreams.find({changed.key.key});
+    if (found == s.state.upstreams.end() || changed.version <= found->second.rowVersion) {
+        return;
+    }
+    const bool wasRead = std::exchange(found->second.rowVersion, changed.version) != 0;
+    if (wasRead && !isFullReadPending(feed)) {
+        recordSignOfLife(s, found->first, feed.snapshotAt - kMaxHeartbeatDelay);
+    }
+}
+
 void applyRow(step &s, table_id table, const row_change &change)
 {
     switch (table) {
@@ -299,10 +316,16 @@
     }
     for (const row_change &change : answer.rows) {
         applyRow(s, table, change);
+        if (table == table_id::upstreams) {
+            recordHeartbeatRow(s, feed, change.row);
+        }
         if (fullRead) {
             feed.seenKeys.insert(change.row.key.key);
         }
     }
+    if (!fullRead || feed.fullReadVersion == 0) {
+        feed.snapshotAt = feed.readSentAt;
+    }
     if (!fullRead) {
         feed.nextAt = s.ctx.now + (answer.truncated ? milliseconds{0} : feed.pollInterval);
         return;
--- a/src/node_members.cpp
+++ b/src/node_members.cpp
@@ -11,6 +11,10 @@
 /// Minimum time between two heartbeats of a daemon.
 constexpr milliseconds kMinHeartbeatPeriod{400};
 
+/// Minimum time between a heartbeat and one that is sent early because of an urgent advisory, as a part of
+/// the heartbeat period.
+constexpr int kUrgentHeartbeatPart = 4;
+
 /// The heartbeat period grows by this time for each daemon of the fleet. Each daemon reads the heartbeats of
 /// all: 6 ms per daemon limit that to 167 rows per second, a thousandth of a core.
 constexpr double kHeartbeatMsPerDaemon = 6;
@@ -118,7 +122,9 @@
 void sendHeartbeat(step &s)
 {
     node_state &state = s.state;
-    if (state.heartbeatRunning || state.nextHeartbeatAt > s.ctx.now
+    const bool urgent = state.advisoryUrgent
+                        && s.ctx.now - state.heartbeatSentAt >= heartbeatPeriod(state) / kUrgentHeartbeatPart;
+    if (state.heartbeatRunning || (state.nextHeartbeatAt > s.ctx.now && !urgent)
         || !feedOf(state, table_id::daemons).synced) {
         return;
     }
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -28,6 +28,7 @@
     claimOrphanedBatches(s);
     expireOverdueItems(s);
     updateLimitShares(s);
+    withdrawSuspicions(s);
     hedgeAndExpireCalls(s);
     endSilentRuns(s);
     moveStragglers(s);
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -313,13 +313,14 @@
 
 std::string encodeAdvisory(const daemon_advisory &advisory)
 {
-    return pack(advisory.limits, advisory.demand);
+    return pack(advisory.limits, advisory.demand, advisory.crashes, advisory.answeredContents);
 }
 
 std::optional<daemon_advisory> decodeAdvisory(const row &source)
 {
     daemon_advisory advisory;
-    return unpack<trailing_bytes::ignore>(source.value, advisory.limits, advisory.demand)
+    return unpack<trailing_bytes::ignore>(source.value, advisory.limits, advisory.demand, advisory.crashes,
+                                          advisory.answeredContents)
                    ? std::optional(std::move(advisory))
                    : std::nullopt;
 }
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -120,6 +120,20 @@
 /// Applies the advisory of a daemon; that of this host comes from its former process.
 void onAdvisoryRow(step &s, const row &received);
 
+// Calls whose content crashes upstreams (node_quarantine.cpp).
+/// True if so many upstreams ended under calls with this content that it is not sent any more.
+bool isQuarantined(const node_state &state, content_hash content);
+/// Records that a call broke off at an upstream.
+void suspectCrash(step &s, content_hash content, const upstream_id &upstream);
+/// Records that an upstream answered a call with this content.
+void recordContentAnswered(step &s, content_hash content);
+/// Records that an upstream's process ran at a time.
+void recordSignOfLife(step &s, const upstream_id &upstream, instant at);
+/// Withdraws suspicions against contents whose upstream has shown a sign of life since.
+void withdrawSuspicions(step &s);
+/// Computes the suspected contents from all advisories. Called after one has changed.
+void updateSuspectedContents(step &s);
+
 // Upstreams that limit the requests per second of all daemons together (node_limits.cpp).
 void onUpstreamLimitRead(step &s, const upstream_limit_read &read);
 /// Applies the limits that another daemon reports.
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -341,6 +341,10 @@
     ++m_version;
     for (simulated_upstream &upstream : m_upstreams) {
         const row_key key{table_id::upstreams, "", upstream.entry.id.value};
+        if (upstream.registered && !upstream.up && m_rows.contains(key)) {
+            // A crashed upstream writes nothing; its row stays until it is deleted.
+            continue;
+        }
         if (upstream.registered) {
             m_foreign[key] = upstream.entry;
             put(key, "heartbeat");
