Responses without end are ended instead of kept in memory

Bytes that are no answer may come without end. Before: the client read a head, or the length of a chunk, of any size; an interim response counted as progress; a node accepted bodies of 64 MB, more than a third of a small host's memory; an event of any size was kept and searched from its begin for each piece.

Interim responses do not restart the timer.

--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -27,6 +27,8 @@
     std::size_t maxIdlePerTarget = 64;
     /// Idle connections older than this are closed: a server may be about to close them.
     milliseconds maxIdleAge{4000};
+    /// A call whose answer is larger fails, and its connection is closed.
+    std::size_t maxHeaderBytes = 64 * 1024;
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -19,6 +19,9 @@
 /// evhttp's own timeout is only a backstop behind the timers of each call.
 constexpr int kBackstopTimeoutSeconds = 24 * 3600;
 
+/// Lowest status of a response that is not interim.
+constexpr int kFirstFinalStatus = 200;
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "GET") {
@@ -83,8 +86,10 @@
         running->call = call;
         running->listener = std::move(listener);
         running->connection = call.freshConnection ? connect(call.target) : takeIdle(call.target);
-        running->watch = evbuffer_add_cb(outputOf(running->connection), &implementation::outputChanged,
-                                         running.get());
+        running->outputWatch = evbuffer_add_cb(outputOf(running->connection), &implementation::outputChanged,
+                                               running.get());
+        running->inputWatch
+                = evbuffer_add_cb(inputOf(running->connection), &implementation::inputChanged, running.get());
         running->timer = std::make_unique<event_timer>(m_base, [this, handle] { expire(handle); });
         running->timer->start(call.connectTimeout);
         running_call &stored = *m_calls.emplace(handle, std::move(running)).first->second;
@@ -115,10 +120,13 @@
         call_http call;
         http_call_listener listener;
         evhttp_connection *connection = nullptr;
-        evbuffer_cb_entry *watch = nullptr;
+        evbuffer_cb_entry *outputWatch = nullptr;
+        evbuffer_cb_entry *inputWatch = nullptr;
         std::unique_ptr<event_timer> timer;
         /// A byte of the request may have left this process.
         bool sent = false;
+        /// More unread bytes have arrived than any answer within the limits leaves.
+        bool oversized = false;
     };
 
     struct idle_connection
@@ -153,6 +161,7 @@
                 = evhttp_connection_base_new(m_base, nullptr, target.address.c_str(), target.port);
         evhttp_connection_set_timeout(connection, kBackstopTimeoutSeconds);
         evhttp_connection_set_retries(connection, 0);
+        evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(m_limits.maxHeaderBytes));
         evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(m_limits.maxBodyBytes));
         return connection;
     }
@@ -227,9 +236,31 @@
         }
     }
 
+    /// evhttp reads the length of a chunk without a limit.
+    static void inputChanged(evbuffer *input, const evbuffer_cb_info *, void *argument)
+    {
+        auto *running = static_cast<running_call *>(argument);
+        const http_client_limits &limits = running->owner->m_limits;
+        if (!running->oversized && evbuffer_get_length(input) > limits.maxHeaderBytes + limits.maxBodyBytes) {
+            running->oversized = true;
+            running->timer->start(milliseconds{0});
+        }
+    }
+
+    /// The connection goes on without this call.
+    static void stopWatching(const running_call &running)
+    {
+        evbuffer_remove_cb_entry(outputOf(running.connection), running.outputWatch);
+        evbuffer_remove_cb_entry(inputOf(running.connection), running.inputWatch);
+    }
+
     static int headArrived(evhttp_request *request, void *argument)
     {
         auto *running = static_cast<running_call *>(argument);
+        if (evhttp_request_get_response_code(request) < kFirstFinalStatus) {
+            // An interim response is no progress; any number of them may follow.
+            return 0;
+        }
         running->timer->start(running->call.progressTimeout);
         const auto &[name, value] = running->call.echo;
         if (!name.empty()) {
@@ -247,7 +278,9 @@
     static void chunkArrived(evhttp_request *request, void *argument)
     {
         auto *running = static_cast<running_call *>(argument);
-        running->timer->start(running->call.progressTimeout);
+        if (!running->oversized) {
+            running->timer->start(running->call.progressTimeout);
+        }
         running->listener.onChunk(drain(request));
     }
 
@@ -271,7 +304,7 @@
         }
         const auto node = m_calls.extract(running.handle);
         running_call &last = *node.mapped();
-        evbuffer_remove_cb_entry(outputOf(last.connection), last.watch);
+        stopWatching(last);
         const bool leftOver = evbuffer_get_length(inputOf(last.connection)) > 0;
         if (status == 0 || last.call.freshConnection || leftOver) {
             freeSoon(last.connection);
@@ -306,13 +339,15 @@
         const running_call &running = *node.mapped();
         closeConnection(running);
         dropIdle(running.call.target);
-        const auto outcome = running.sent ? transfer_outcome::timed_out : transfer_outcome::nothing_sent;
+        const auto ended
+                = running.oversized ? transfer_outcome::failed_after_send : transfer_outcome::timed_out;
+        const auto outcome = running.sent ? ended : transfer_outcome::nothing_sent;
         running.listener.onFinished({running.call.operation, outcome, 0, {}, {}});
     }
 
     static void closeConnection(const running_call &running)
     {
-        evbuffer_remove_cb_entry(outputOf(running.connection), running.watch);
+        stopWatching(running);
         evhttp_connection_free(running.connection);
     }
 
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -23,6 +23,9 @@
 /// request, and a stale one fails with a reset before the request runs.
 constexpr milliseconds kIdleConnectionAge{20'000};
 
+/// Maximum size of an answer, so that a few endless ones do not exceed the memory of a small host.
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+
 /// Interval at which a stopping process checks whether all replies are sent.
 constexpr milliseconds kShutdownPollInterval{20};
 
@@ -55,6 +58,7 @@
 {
     http_client_limits limits;
     limits.maxIdleAge = kIdleConnectionAge;
+    limits.maxBodyBytes = kMaxAnswerBytes;
     return limits;
 }
 
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -350,6 +350,28 @@
     }
 }
 
+// The parser kept an event of any size and searched it from its begin for each piece.
+TEST(platform_wire, eventWithoutEndIsDropped)
+{
+    platform::sse_parser parser;
+    const std::string piece(16 * 1024, 'x');
+    ASSERT_EQ(parser.add("id: 1\ndata: a\n\nid: 2\ndata: ").size(), 1U);
+    for (int i = 0; i < 10'000; ++i) {
+        EXPECT_TRUE(parser.add(piece).empty());
+    }
+    EXPECT_TRUE(parser.add("\n\nid: 3\ndata: b\n\n").empty());
+    EXPECT_TRUE(parser.hasPartialEvent());
+}
+
+TEST(platform_wire, endOfAnEventMayBeSplit)
+{
+    platform::sse_parser parser;
+    EXPECT_TRUE(parser.add("id: 1\ndata: a\n").empty());
+    EXPECT_EQ(parser.add("\nid: 2\ndata: b").size(), 1U);
+    EXPECT_TRUE(parser.add("\n").empty());
+    EXPECT_EQ(parser.add("\n").size(), 1U);
+}
+
 // A response without the id of its request may be a late copy of another one.
 TEST(platform_wire, streamWithoutTheIdOfItsItemProducesNothing)
 {
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Writes as much as the callers read, without end.
+    void writeToReaders(const std::string &bytes) const
+    {
+        for (bufferevent *connection : m_open) {
+            if (evbuffer_get_length(bufferevent_get_output(connection)) < bytes.size()) {
+                bufferevent_write(connection, bytes.data(), bytes.size());
+            }
+        }
+    }
+    std::size_t openConnections() const { return m_open.size(); }
+
     void close(bufferevent *connection)
     {
         m_open.erase(connection);
@@ -345,6 +356,86 @@
     EXPECT_EQ(call.finished->body, std::string(6 * 1024 * 1024, 'a'));
 }
 
+namespace {
+
+/// A response that begins with some bytes and goes on with others until the caller closes.
+struct endless_response
+{
+    std::string name;
+    std::string begin;
+    std::string repeated;
+};
+
+std::vector<endless_response> endlessResponses()
+{
+    constexpr std::size_t kFillerBytes = 16 * 1024;
+    const std::string filler(kFillerBytes, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    return {{"bytes instead of a status line", "", filler},
+            {"lines instead of a status line", "", filler + "\r\n"},
+            {"status line without end", "HTTP/1.1 200 ", filler},
+            {"header without end", head + "X-Filler: ", filler},
+            {"headers without end", head, "X-Filler: " + filler + "\r\n"},
+            {"body without length", head + "\r\n", filler},
+            {"chunks without end", head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + filler + "\r\n"},
+            {"length of a chunk without end", head + "Transfer-Encoding: chunked\r\n\r\n",
+             std::string(kFillerBytes, '0')},
+            {"trailers without end", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+             "X-Filler: " + filler + "\r\n"}};
+}
+
+} // namespace
+
+// The client read a head of any size and kept all of it, until the process had no memory left.
+TEST(http_client, endsResponsesWithoutEnd)
+{
+    for (const bool streamed : {false, true}) {
+        for (const endless_response &response : endlessResponses()) {
+            const test_loop loop;
+            const raw_server server(loop.base(), [&](bufferevent *connection, const std::string &) {
+                bufferevent_write(connection, response.begin.data(), response.begin.size());
+            });
+            http_client_limits limits;
+            limits.maxBodyBytes = 1024 * 1024;
+            http_client client(loop.base(), limits);
+            watched_call call;
+            call_http endless = makeCall(server.where());
+            endless.streamed = streamed;
+            endless.progressTimeout = kLongestWait * 2;
+            client.start(endless, call.listener());
+            event_timer feeder(loop.base(), [&] {
+                server.writeToReaders(response.repeated);
+                feeder.start(milliseconds{1});
+            });
+            feeder.start(milliseconds{20});
+            EXPECT_TRUE(loop.runUntil([&] { return call.finished && server.openConnections() == 0; }))
+                    << response.name << (streamed ? ", streamed" : "");
+            ASSERT_TRUE(call.finished.has_value()) << response.name;
+            EXPECT_EQ(call.finished->outcome, transfer_outcome::failed_after_send) << response.name;
+            EXPECT_LE(call.streamed.size(), limits.maxBodyBytes) << response.name;
+        }
+    }
+}
+
+// Each interim response counted as progress, so the call never ended.
+TEST(http_client, interimResponsesWithoutEndAreNoProgress)
+{
+    const test_loop loop;
+    const raw_server server(loop.base(), [](bufferevent *, const std::string &) {});
+    http_client client(loop.base());
+    watched_call call;
+    call_http endless = makeCall(server.where());
+    endless.progressTimeout = milliseconds{300};
+    client.start(endless, call.listener());
+    event_timer feeder(loop.base(), [&] {
+        server.writeToReaders("HTTP/1.1 100 Continue\r\n\r\n");
+        feeder.start(milliseconds{5});
+    });
+    feeder.start(milliseconds{20});
+    ASSERT_TRUE(loop.runUntil([&] { return call.finished && server.openConnections() == 0; }));
+    EXPECT_EQ(call.finished->outcome, transfer_outcome::timed_out);
+}
+
 TEST(http_client, reportsTheHeadOfEveryResponse)
 {
     const test_loop loop;
