--- a/src/node_limits.cpp
+++ b/src/node_limits.cpp
@@ -2,6 +2,7 @@
 #include "node_placement.h"
 #include "node_step.h"
 
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <cmath>
 
@@ -35,13 +36,9 @@
 /// Time between two computations of the shares.
 constexpr milliseconds kShareInterval{200};
 
-/// @returns the number with two decimals.
 std::string formatRate(double perSecond)
 {
-    constexpr double kHundredths = 100;
-    const auto rounded = static_cast<std::int64_t>(perSecond * kHundredths + 0.5);
-    const std::string fraction = std::to_string(rounded % 100);
-    return std::to_string(rounded / 100) + (fraction.size() < 2 ? ".0" : ".") + fraction;
+    return absl::StrFormat("%.2f", perSecond);
 }
 
 void setLimit(step &s, const upstream_id &id, upstream_view &view, const rate_limit &limit,
