Accounts, duties and scaling get their rooms: values, settings, wire

Change: values of each part in a header of its own (node_accounts.h, node_duties.h, node_usage.h, node_scaling.h), settings `revocationBoundMs` and `duties`, the configuration's accounts and scaling bounds, the effect call_duty and its encoding. Nothing uses them yet. The advisory carries two more fields; rows of older builds are still read.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -7,7 +7,9 @@
 #pragma once
 
 #include <jacinthvale/node_event.h>
+#include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
+#include <jacinthvale/node_usage.h>
 
 #include <deque>
 
@@ -34,6 +36,10 @@
     /// Minimum number of daemons for shared reading of the table of upstreams: a few daemons read it from the
     /// store, the others from these daemons.
     std::size_t sharedReadMinFleetSize = 100;
+    /// Longest time for which a key is accepted after the configuration without it was acknowledged; nullopt
+    /// if keys may be accepted for longer while the configuration cannot be read.
+    std::optional<milliseconds> revocationBound = {};
+    std::optional<duty_settings> duties = {};
 };
 
 /// Row of a daemon in the table of daemons.
@@ -271,6 +277,8 @@
     std::map<std::uint64_t, std::uint64_t> answeredContents;
     /// This daemon has no path to the upstreams.
     bool withoutUpstreams = false;
+    usage_advisory usage = {};
+    scaling_advisory scaling = {};
 
     auto operator<=>(const daemon_advisory &) const = default;
 };
@@ -711,6 +719,11 @@
     exchange_id exchange;
     upstream_id upstream;
 };
+/// A call of a duty.
+struct duty_operation
+{
+    duty_call call;
+};
 /// A request to another daemon about the origin of a stream.
 struct stream_origin_operation
 {
@@ -737,7 +750,7 @@
                        claim_operation, load_operation, batch_end_operation, page_operation, item_operation,
                        release_operation, checkpoint_operation, run_operation, call_operation,
                        lease_operation, order_operation, identity_operation, stream_operation,
-                       stream_origin_operation, relay_operation, path_operation>;
+                       stream_origin_operation, relay_operation, path_operation, duty_operation>;
 
 /// Leaving upstreams that this daemon tells the others, in a row beside its heartbeat.
 struct leaving_advertisement
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -2,6 +2,7 @@
 /// effects.
 #pragma once
 
+#include <jacinthvale/node_duties.h>
 #include <jacinthvale/node_types.h>
 
 #include <absl/status/status.h>
@@ -24,6 +25,8 @@
     not_found,
     /// The request is malformed.
     malformed,
+    /// The request has no key of an account.
+    unauthorized,
 };
 
 /// Answer of another daemon to relay_call: the response of an upstream, or the reason why there is none.
@@ -61,6 +64,7 @@
 {
     exchange_id exchange;
     batch spec;
+    credential key = {};
 };
 
 struct page_requested
@@ -69,6 +73,7 @@
     batch_id batch;
     std::size_t after = 0;
     milliseconds wait{0};
+    credential key = {};
 };
 
 struct item_requested
@@ -76,12 +81,14 @@
     exchange_id exchange;
     batch_id batch;
     item_id item;
+    credential key = {};
 };
 
 struct batch_end_requested
 {
     exchange_id exchange;
     batch_id batch;
+    credential key = {};
 };
 
 /// The caller of an unanswered exchange closed the connection.
@@ -193,7 +200,8 @@
     call_end end = call_end::complete;
 };
 
-/// End of a forwarded call or of an order. Headers, body and seal are set only for forwarded calls.
+/// End of a forwarded call, of an order, or of a call of a duty. Headers, body and seal are set only for
+/// forwarded calls.
 struct call_ended
 {
     op_id op;
@@ -392,6 +400,8 @@
     /// 0 (most urgent) to 9: an upstream that runs out of memory preempts the least urgent run.
     unsigned urgency = 5;
     milliseconds progressTimeout{2000};
+    /// Account of the batch; nullopt where requests need no key.
+    std::optional<account_id> account = {};
 };
 
 struct forward_call
@@ -507,6 +517,15 @@
     std::uint64_t expectedOrders = 0;
 };
 
+/// Calls the platform for a duty. Event: call_ended.
+struct call_duty
+{
+    op_id op;
+    duty_call call;
+    host_id holder;
+    fencing_number fencing;
+};
+
 /// Sends the upstream's answer to the caller, unchanged.
 struct answer_call
 {
@@ -591,9 +610,9 @@
         = std::variant<read_rows, read_changes, commit_rows, request_upstream_delta, answer_upstream_delta,
                        run_item, forward_call, forward_stream, relay_call, begin_stream, send_stream,
                        end_stream, share_stream_origin, find_stream_origin, answer_stream_origin, cancel_call,
-                       request_upstream_status, order_weights, answer_call, refuse_call, accept_batch,
-                       answer_page, answer_item, answer_batch_ended, set_readiness, set_relays, log_decision,
-                       count, observe, end_process>;
+                       request_upstream_status, order_weights, call_duty, answer_call, refuse_call,
+                       accept_batch, answer_page, answer_item, answer_batch_ended, set_readiness, set_relays,
+                       log_decision, count, observe, end_process>;
 
 using effects = std::vector<effect>;
 
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <jacinthvale/event.h>
+#include <jacinthvale/node_accounts.h>
 #include <jacinthvale/types.h>
 
 #include <map>
@@ -60,6 +61,10 @@
     bool singleVersion = false;
     /// A stream may go on at another upstream after its last event; otherwise it runs at most once.
     bool resumable = false;
+    /// Requests need no key, also where the configuration has accounts.
+    bool isPublic = false;
+    /// 0 is the highest.
+    unsigned priority = 0;
 
     auto operator<=>(const route &) const = default;
 };
@@ -76,12 +81,31 @@
     auto operator<=>(const engine_limits &) const = default;
 };
 
+/// Bounds and prices for the number of a service's upstreams.
+struct scaling_limits
+{
+    /// Least and most upstreams of the service in each zone, both kinds together.
+    unsigned minimum = 0;
+    unsigned maximum = 0;
+    /// Time from an order until new upstreams serve.
+    milliseconds boot{0};
+    /// Price of an upstream that may be reclaimed, as a share of that of another one; 0 if there are none.
+    double reclaimablePrice = 0;
+    std::map<availability_zone_id, double> zonePrices;
+
+    auto operator<=>(const scaling_limits &) const = default;
+};
+
 /// The active configuration.
 struct route_table
 {
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<service_id, engine_limits> engines;
+    /// nullopt where requests need no key.
+    std::optional<account_table> accounts = {};
+    /// Services whose number of upstreams this system decides.
+    std::map<service_id, scaling_limits> scaling = {};
 
     auto operator<=>(const route_table &) const = default;
 };
@@ -103,6 +127,10 @@
     std::map<model_id, weight_version> weights;
     /// Version of the software that the upstream runs; versions have no order.
     std::string softwareVersion = {};
+    /// The platform may reclaim the upstream, together with all others of this kind in its zone.
+    bool reclaimable = false;
+    /// Time until the upstream is taken away, as of the last row that told; 0 if unknown.
+    std::uint64_t leavesInMs = 0;
 
     auto operator<=>(const upstream_entry &) const = default;
 
@@ -110,7 +138,7 @@
     void serialize(Archive &archive)
     {
         archive(id.value, service.value, address.address, address.port, zone.value, slots, draining,
-                startedAtMs, weights, softwareVersion);
+                startedAtMs, weights, softwareVersion, reclaimable, leavesInMs);
     }
 };
 
@@ -227,6 +255,8 @@
     weight_version minVersion;
     unsigned groupsWanted = 0;
     std::vector<batch_item> items;
+    /// Account that submitted the batch; empty where requests need no key.
+    account_id account = {};
 
     auto operator<=>(const batch &) const = default;
 };
@@ -296,6 +326,9 @@
     request_id resumes = {};
     /// Another daemon relays the call because it has no path to the upstreams.
     bool isRelayed = false;
+    credential key = {};
+    /// Account of the key; empty for a public route, nullopt where requests need no key.
+    std::optional<account_id> account = {};
 };
 
 } // namespace jacinthvale::node
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -119,6 +119,9 @@
                                                         const http_call_finished &finished) const = 0;
     virtual call_http encodeOrder(const order_weights &order) const = 0;
     virtual call_ended decodeOrder(op_id op, const http_call_finished &finished) const = 0;
+    /// The caller sets the target.
+    virtual call_http encodeDuty(const call_duty &call) const = 0;
+    virtual call_ended decodeDuty(op_id op, const http_call_finished &finished) const = 0;
 };
 
 } // namespace jacinthvale::node
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -326,18 +326,24 @@
 std::string encodeAdvisory(const daemon_advisory &advisory)
 {
     return pack(advisory.limits, advisory.demand, advisory.crashes, advisory.answeredContents,
-                advisory.withoutUpstreams);
+                advisory.withoutUpstreams, advisory.usage, advisory.scaling);
 }
 
 std::optional<daemon_advisory> decodeAdvisory(const row &source)
 {
     daemon_advisory advisory;
     if (unpack<trailing_bytes::ignore>(source.value, advisory.limits, advisory.demand, advisory.crashes,
-                                       advisory.answeredContents, advisory.withoutUpstreams)) {
+                                       advisory.answeredContents, advisory.withoutUpstreams, advisory.usage,
+                                       advisory.scaling)) {
         return advisory;
     }
-    // The row of an older build.
+    // Rows of older builds.
     daemon_advisory former;
+    if (unpack(source.value, former.limits, former.demand, former.crashes, former.answeredContents,
+               former.withoutUpstreams)) {
+        return former;
+    }
+    former = {};
     return unpack(source.value, former.limits, former.demand, former.crashes, former.answeredContents)
                    ? std::optional(std::move(former))
                    : std::nullopt;
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -254,6 +254,15 @@
                 },
                 order.upstream);
     }
+    void operator()(const call_duty &duty) const
+    {
+        const op_id op = duty.op;
+        call_http call = self.m_port->encodeDuty(duty);
+        call.target = self.m_settings.duties;
+        self.startCall(op, call, [runtime = &self, op](const http_call_finished &f) {
+            return runtime->m_port->decodeDuty(op, f);
+        });
+    }
     void operator()(const request_upstream_delta &request) const
     {
         const op_id op = request.op;
@@ -351,6 +360,12 @@
             milliseconds{time.tv_sec * kMillisecondsPerSecond + time.tv_nsec / kNanosecondsPerMillisecond}};
 }
 
+wall_time node_runtime::wallNow()
+{
+    return wall_time{
+            std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())};
+}
+
 std::unique_ptr<http_server> node_runtime::listen(const endpoint &address,
                                                   std::function<void(http_request_received)> onRequest,
                                                   std::function<void(http_exchange_abandoned)> onAbandoned,
@@ -433,7 +448,7 @@
     while (!m_queue.empty()) {
         const event incoming = std::move(m_queue.front());
         m_queue.pop_front();
-        const context ctx{now(), {}, m_random()};
+        const context ctx{now(), wallNow(), m_random()};
         for (const effect &requested : reduce(m_state, incoming, ctx)) {
             std::visit(effect_executor{*this}, requested);
         }
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -41,6 +41,7 @@
     };
 
     instant now() const;
+    static wall_time wallNow();
     void post(event incoming);
     void processQueue();
     std::unique_ptr<http_server> listen(const endpoint &address,
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node_settings.h"
 
+#include <algorithm>
+
 namespace jacinthvale::node {
 
 namespace {
@@ -28,6 +30,33 @@
 /// diagnosis.
 constexpr std::int64_t kDefaultLogLines = 5;
 
+constexpr std::int64_t kMaxRevocationBoundMs = 3'600'000;
+constexpr double kMaxUsageSeconds = 3600;
+constexpr double kDefaultUsageWindowSeconds = 5;
+constexpr double kDefaultUsageDueSeconds = 10;
+
+milliseconds fromSeconds(double seconds)
+{
+    return milliseconds{static_cast<std::int64_t>(seconds * kMillisecondsPerSecond)};
+}
+
+void readDuties(json_checker checker, node_settings &settings)
+{
+    duty_settings duties;
+    settings.duties = checker.address("address");
+    duties.callsPerSecond = checker.number("callsPerSecond", 1, kMaxCallsPerSecond, 1);
+    // Kinds that this build does not know are left to others.
+    const std::vector<std::string> kinds = checker.texts("kinds");
+    duties.reportsUsage = std::ranges::count(kinds, "usage_report") > 0;
+    duties.scalesServices = std::ranges::count(kinds, "autoscale") > 0;
+    duties.usageWindow = fromSeconds(
+            checker.number("usageWindowSeconds", 0.1, kMaxUsageSeconds, kDefaultUsageWindowSeconds));
+    duties.usageDue
+            = fromSeconds(checker.number("usageDueSeconds", 0.1, kMaxUsageSeconds, kDefaultUsageDueSeconds));
+    checker.finish();
+    settings.identity.duties = duties;
+}
+
 } // namespace
 
 node_settings readNodeSettings(const std::string &text)
@@ -41,8 +70,7 @@
     settings.identity.seeds = checker.addresses("seeds");
     settings.identity.leaseTime = milliseconds{checker.integer("leaseMs", 1, kMaxLeaseMs, kDefaultLeaseMs)};
     const double graceSeconds = checker.number("stopGraceSeconds", 0, kMaxGraceSeconds, kDefaultGraceSeconds);
-    settings.identity.stopGrace
-            = milliseconds{static_cast<std::int64_t>(graceSeconds * kMillisecondsPerSecond)};
+    settings.identity.stopGrace = fromSeconds(graceSeconds);
     settings.identity.processorShare = checker.number("processorShare", kMinProcessorShare,
                                                       kMaxProcessorShare, kDefaultProcessorShare);
     settings.identity.storeReadsPerSecond
@@ -51,6 +79,13 @@
             = checker.number("storeWritesPerSecond", 1, kMaxCallsPerSecond, kDefaultWritesPerSecond);
     settings.identity.sharedReadMinFleetSize = static_cast<std::size_t>(
             checker.integer("sharedReadingFrom", 1, kMaxSharedReadingFrom, kDefaultSharedReadingFrom));
+    if (checker.has("revocationBoundMs")) {
+        settings.identity.revocationBound
+                = milliseconds{checker.integer("revocationBoundMs", 1, kMaxRevocationBoundMs)};
+    }
+    if (checker.has("duties")) {
+        readDuties(checker.object("duties"), settings);
+    }
     settings.entry = checker.listenAddress("entryAddress");
     settings.readiness = checker.listenAddress("readinessAddress");
     settings.platform = checker.address("platformAddress");
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -15,6 +15,8 @@
     endpoint readiness;
     /// Address of the platform's store.
     endpoint platform;
+    /// Address for the calls of duties; empty if there are none.
+    endpoint duties;
     /// Listen address for counters and histograms.
     endpoint metrics;
     std::size_t maxHeaderBytes = 0;
