Duties have a lease and paced calls

Cause: reports of usage and numbers of upstreams are made by one daemon at a time, and a successor has to repeat what the former holder has begun. Change: node_leases.h holds the decisions of a lease as functions of values; node_duties.cpp writes the row "duties" in the table of leases, which contains the record of the duties. A call needs the lease with a margin, follows the committed record, and is paced over all subjects, with back-off for each. A holder makes no call before its predecessor's acquisition is one lease time old, so that A, B, A cannot happen within it. The row has a format of its own: older builds don't take it for the row of the weights lease. Ruled out: one lease for each subject; each would cost two writes a second, read by all daemons.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <jacinthvale/node_event.h>
+#include <jacinthvale/node_leases.h>
 #include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
 #include <jacinthvale/node_usage.h>
@@ -641,6 +642,48 @@
     std::map<upstream_id, running_order> orders;
 };
 
+enum class lease_id : std::uint8_t { weights, duties };
+
+/// What the calls of a duty concern; one call is in progress for each at a time. Empty for reports of usage.
+struct duty_subject
+{
+    service_id service;
+    availability_zone_id zone;
+
+    auto operator<=>(const duty_subject &) const = default;
+};
+
+/// Calls for one subject.
+struct duty_progress
+{
+    /// The call in progress; 0 if none.
+    op_id op;
+    /// Calls since the last one that was accepted.
+    unsigned failures = 0;
+    instant nextAt{};
+};
+
+/// Lease for the duties, and the calls of this process while it is the holder.
+struct duty_state
+{
+    lease_state lease;
+    /// Store time at which the holder acquired the lease, according to the row.
+    std::uint64_t acquiredAtMs = 0;
+    /// Store time from which on this process makes calls as the holder.
+    std::uint64_t actsFromMs = 0;
+    /// Record in the last known row, the one that the write in progress contains, and the one to write next.
+    duty_record committed;
+    duty_record writing;
+    duty_record wanted;
+    /// Value of `acquiredAtMs` that the write in progress contains.
+    std::uint64_t writingAcquiredAtMs = 0;
+    /// The wanted record is written before the lease has to be renewed.
+    bool changed = false;
+    /// Earliest time of the next call, of any subject.
+    instant nextCallAt{};
+    std::map<duty_subject, duty_progress> calls;
+};
+
 // Purposes of running operations.
 
 struct feed_operation
@@ -705,9 +748,10 @@
     call_origin origin;
     upstream_id upstream;
 };
+/// A write of the row of a lease.
 struct lease_operation
 {
-    bool readingRow = false;
+    lease_id lease = lease_id::weights;
 };
 struct order_operation
 {
@@ -810,6 +854,7 @@
     std::map<std::string, double> callDurations;
     std::map<item_id, retained_output> retainedOutputs;
     weights_leader weightsLeader;
+    duty_state duties;
 
     std::uint64_t ownRowVersion = 0;
     std::uint64_t heartbeatCount = 0;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -524,6 +524,8 @@
     duty_call call;
     host_id holder;
     fencing_number fencing;
+    /// The call is not sent after this time: its holder may have been suspended since it was decided.
+    instant sendBy{};
 };
 
 /// Sends the upstream's answer to the caller, unchanged.
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -179,7 +179,11 @@
         onHeadRow(s, change.row);
         break;
     case table_id::leases:
-        onLeaseRow(s, change.row);
+        if (change.row.key.key == kDutyLeaseKey) {
+            onDutyLeaseRow(s, change.row);
+        } else {
+            onLeaseRow(s, change.row);
+        }
         break;
     default:
         break;
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -39,6 +39,7 @@
     checkpointBatches(s);
     pollPages(s);
     runWeightsLeader(s);
+    runDuties(s);
     logLimitedUse(s);
     updateReadiness(s);
     const auto &model = s.state.owned.empty() ? model_id{} : s.state.owned.begin()->second.spec.model;
@@ -51,8 +52,9 @@
     if (!s.state.stopping) {
         return;
     }
-    const bool idle = !s.state.weightsLeader.held && s.state.owned.empty() && s.state.calls.empty()
-                      && s.state.streams.empty() && s.state.pending.empty() && s.state.pages.empty();
+    const bool idle = !s.state.weightsLeader.held && areDutiesReleased(s.state) && s.state.owned.empty()
+                      && s.state.calls.empty() && s.state.streams.empty() && s.state.pending.empty()
+                      && s.state.pages.empty();
     if (idle || s.ctx.now >= s.state.stopAt) {
         s.emit(end_process{});
     }
@@ -100,7 +102,10 @@
                            onClaimFinished(s, claim.batch);
                            onClaimCommitted(s, claim, committed);
                        },
-                       [&](const lease_operation &) { onLeaseCommitted(s, committed); },
+                       [&](const lease_operation &lease) {
+                           lease.lease == lease_id::weights ? onLeaseCommitted(s, committed)
+                                                            : onDutyLeaseCommitted(s, committed);
+                       },
                        [&](const release_operation &release) {
                            dropOwnedBatch(s, release.batch, "handed over");
                        },
@@ -136,7 +141,10 @@
                            onClaimFinished(s, claim.batch);
                        },
                        [&](const checkpoint_operation &checkpointed) { applyHeadRow(checkpointed.batch); },
-                       [&](const lease_operation &) { onLeaseConflict(s, conflict); },
+                       [&](const lease_operation &lease) {
+                           lease.lease == lease_id::weights ? onLeaseConflict(s, conflict)
+                                                            : onDutyLeaseConflict(s, conflict);
+                       },
                        [&](const release_operation &release) {
                            applyHeadRow(release.batch);
                            if (const auto found = s.state.owned.find(release.batch);
@@ -164,7 +172,9 @@
                           [&](const accept_operation &accept) { onAcceptFailed(s, accept.batch, failed); },
                           [&](const commit_operation &commit) { onResultsFailed(s, commit.batch); },
                           [&](const claim_operation &claim) { onClaimFinished(s, claim.batch); },
-                          [&](const lease_operation &) { onLeaseFailed(s); },
+                          [&](const lease_operation &lease) {
+                              lease.lease == lease_id::weights ? onLeaseFailed(s) : onDutyLeaseFailed(s);
+                          },
                           [&](const page_operation &page) {
                               const auto read = s.state.pages.extract(page.exchange);
                               if (!read.empty()) {
@@ -298,6 +308,8 @@
                                 onOrderEnded(s, *order, ended);
                             } else if (const auto *stream = std::get_if<stream_operation>(&operation)) {
                                 onStreamEnded(s, *stream, ended);
+                            } else if (const auto *duty = std::get_if<duty_operation>(&operation)) {
+                                onDutyCallEnded(s, duty->call, ended);
                             }
                         });
                     },
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -19,6 +19,9 @@
 /// Format of progress rows that name the build of each text.
 constexpr std::uint8_t kBuildFormat = 3;
 
+/// Format of the row of the lease of the duties.
+constexpr std::uint8_t kDutyFormat = 4;
+
 /// Ends the key of a row that advertises leaving upstreams. Names of hosts contain no slash.
 constexpr const char *kLeavingKeySuffix = "/leaving-upstreams";
 
@@ -364,6 +367,23 @@
                    : std::nullopt;
 }
 
+std::string encodeDutyLease(const duty_lease_row &lease)
+{
+    const lease_claim &claim = lease.claim;
+    return packAs(kDutyFormat, claim.holder, claim.incarnation, claim.epoch, claim.released,
+                  lease.acquiredAtMs, lease.record);
+}
+
+std::optional<duty_lease_row> decodeDutyLease(const row &source)
+{
+    duty_lease_row lease;
+    lease_claim &claim = lease.claim;
+    return unpackAs<trailing_bytes::ignore>(kDutyFormat, source.value, claim.holder, claim.incarnation,
+                                            claim.epoch, claim.released, lease.acquiredAtMs, lease.record)
+                   ? std::optional(std::move(lease))
+                   : std::nullopt;
+}
+
 void result_assembler::add(const row &fragment)
 {
     if (const auto position = resultPosition(fragment.key.key)) {
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -122,6 +122,19 @@
 std::string encodeLease(const lease_row &lease);
 std::optional<lease_row> decodeLease(const row &source);
 
+/// Row of the lease of the duties. Builds without duties find its format unreadable.
+struct duty_lease_row
+{
+    lease_claim claim;
+    /// Store time at which the holder acquired the lease.
+    std::uint64_t acquiredAtMs = 0;
+    duty_record record;
+};
+inline const std::string kDutyLeaseKey = "duties";
+
+std::string encodeDutyLease(const duty_lease_row &lease);
+std::optional<duty_lease_row> decodeDutyLease(const row &source);
+
 /// Reassembles committed results from their fragments. The first row added must be the first fragment of a
 /// result.
 class result_assembler
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -257,6 +257,11 @@
     void operator()(const call_duty &duty) const
     {
         const op_id op = duty.op;
+        if (self.now() > duty.sendBy) {
+            // Reported from the loop like every other end.
+            self.post(call_ended{op, call_end::unreachable, 0, {}, {}});
+            return;
+        }
         call_http call = self.m_port->encodeDuty(duty);
         call.target = self.m_settings.duties;
         self.startCall(op, call, [runtime = &self, op](const http_call_finished &f) {
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -342,6 +342,34 @@
 void onUpstreamStatus(step &s, const order_operation &operation, const upstream_status_received &report);
 void onOrderEnded(step &s, const order_operation &operation, const call_ended &end);
 
+// Duties (node_duties.cpp).
+/// True if this process may make calls of the duties now.
+bool isDutyHolder(const step &s);
+/// @returns the record that the lease row shall hold; it is written at once. Only for the holder.
+duty_record &dutyRecord(step &s);
+/// @returns the record that the lease row holds. Calls depend on nothing else, so that a successor repeats
+/// them.
+const duty_record &committedDutyRecord(const node_state &state);
+/// Calls the platform if this process is the holder, the subject has no call in progress and no back-off, and
+/// the rate of all calls allows one. @returns false if the call cannot be made now.
+bool callDuty(step &s, duty_call call);
+void runDuties(step &s);
+void onDutyLeaseRow(step &s, const row &changed);
+void onDutyLeaseCommitted(step &s, const rows_committed &committed);
+void onDutyLeaseConflict(step &s, const rows_conflict &conflict);
+void onDutyLeaseFailed(step &s);
+void onDutyCallEnded(step &s, const duty_call &call, const call_ended &ended);
+/// True if nothing of the duties keeps this process from ending.
+bool areDutiesReleased(const node_state &state);
+
+// Usage (node_usage.cpp).
+/// Reports usage. Only for the holder of the duties.
+void reportUsage(step &s);
+void onUsageReported(step &s, const usage_report &report, const call_ended &ended);
+
+// Number of upstreams (node_scaling.cpp).
+void onUpstreamsOrdered(step &s, const upstream_order &order, const call_ended &ended);
+
 /// Drops the order to load weights on an upstream, if there is one.
 void dropOrder(step &s, const upstream_id &id);
 
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -8,16 +8,6 @@
 
 namespace {
 
-/// The lease is valid for kLeaseValidity after the start of a renewal. It is renewed every kRenewPeriod; a
-/// renewal without an answer fails after kRenewDeadline.
-constexpr milliseconds kLeaseValidity{1400};
-constexpr milliseconds kRenewPeriod{500};
-constexpr milliseconds kRenewDeadline{1200};
-
-/// A successor acquires a lease that was not renewed for kLeaseValidity plus this margin: the row is read at
-/// intervals, and the clocks of two hosts run at slightly different speeds.
-constexpr milliseconds kSuccessorMargin{400};
-
 /// Margin on the time for which a successor sends no orders to upstreams that the former holder may have
 /// ordered.
 constexpr milliseconds kBlockMargin{200};
@@ -85,7 +75,7 @@
     load_window &window = lease.loadWindows[id];
     // A load that is given up is listed no more; a later listing announces another one.
     const bool isRepeated
-            = listedAtMs > window.lastListedMs + 2 * static_cast<std::uint64_t>(kRenewPeriod.count());
+            = listedAtMs > window.lastListedMs + 2 * static_cast<std::uint64_t>(kLeaseRenewPeriod.count());
     if (listedAtMs > window.confirmedMs && (!window.isOpen() || isRepeated)) {
         window.sinceMs = listedAtMs;
     }
@@ -132,7 +122,7 @@
                        "",
                        {{table_id::leases, kWeightsLeaseKey, lease.rowVersion}},
                        {{table_id::leases, kWeightsLeaseKey, encodeLease(row)}},
-                       kRenewDeadline});
+                       kLeaseRenewDeadline});
 }
 
 /// Cancels the status request or order in progress; the upstream may still carry out the order.
@@ -328,7 +318,7 @@
 {
     const weights_leader &lease = s.state.weightsLeader;
     if (!lease.rowKnown || lease.released
-        || s.ctx.now - lease.changedAt >= kLeaseValidity + kSuccessorMargin) {
+        || s.ctx.now - lease.changedAt >= kLeaseValidity + kLeaseSuccessorMargin) {
         return true;
     }
     // The holder's process has ended if its host reports another incarnation.
@@ -425,7 +415,7 @@
     lease.rowVersion = std::max(lease.rowVersion, committed.version);
     lease.rowKnown = true;
     lease.changedAt = s.ctx.now;
-    lease.nextAt = lease.renewSentAt + kRenewPeriod;
+    lease.nextAt = lease.renewSentAt + kLeaseRenewPeriod;
     lease.heldUntil = lease.renewSentAt + kLeaseValidity;
     if (isRetiring(s.state, s.ctx.now)) {
         if (lease.held) {
@@ -456,7 +446,7 @@
 {
     weights_leader &lease = s.state.weightsLeader;
     lease.op = {};
-    lease.nextAt = s.ctx.now + kRenewPeriod;
+    lease.nextAt = s.ctx.now + kLeaseRenewPeriod;
     for (const row &currentRow : conflict.rows) {
         if (currentRow.key.table == table_id::leases && currentRow.version != 0) {
             onLeaseRow(s, currentRow);
