The holder of the duties reports usage

Cause: usage of each window is due, and a report that was sent must never be followed by another one. Change: each daemon counts requests by account and window when it sends their first attempt, takes those back that no upstream ran, and tells the counts with its advisory. Ruled out: counting when an answer arrives; long calls would miss their window's report.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -466,6 +466,8 @@
     /// Answers that report a failed run; for a reward call, including earlier rounds.
     unsigned failures = 0;
     instant nextTryAt{};
+    /// Window of usage in which the request counts; nullopt if it does not count.
+    std::optional<std::uint64_t> usageWindow;
 };
 
 /// A stream that is forwarded to a caller.
@@ -514,6 +516,8 @@
     bool begun = false;
     /// The upstream has ended the stream with success.
     bool complete = false;
+    /// The request counts as usage.
+    bool isCounted = false;
     /// Bytes that wait for the release.
     std::string held;
 };
@@ -855,6 +859,7 @@
     std::map<item_id, retained_output> retainedOutputs;
     weights_leader weightsLeader;
     duty_state duties;
+    usage_state usage;
 
     std::uint64_t ownRowVersion = 0;
     std::uint64_t heartbeatCount = 0;
--- a/src/node_advisories.cpp
+++ b/src/node_advisories.cpp
@@ -23,6 +23,7 @@
     if (beginPublication(state.leavingAdvertisement.publication)) {
         rows.push_back(leavingRow(s));
     }
+    updateUsageAdvisory(s);
     if (updateOwnLimits(s)) {
         state.advisoryPublication.changed = true;
     }
@@ -56,6 +57,7 @@
         if (state.heartbeatCount == 0) {
             state.ownAdvisory.crashes = std::move(advisory->crashes);
             state.ownAdvisory.answeredContents = std::move(advisory->answeredContents);
+            state.usage.former = std::move(advisory->usage.counts);
             updateSuspectedContents(s);
         }
         return;
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -183,6 +183,9 @@
     call.tried.insert(*target);
     call.running.push_back({op, *target, s.ctx.now});
     call.nextTryAt = s.ctx.now + hedgeDelay(call);
+    if (!call.usageWindow && std::holds_alternative<exchange_id>(origin)) {
+        call.usageWindow = countUsage(s, call.call);
+    }
     s.emit(forward_call{op, view.entry.address, *target, call.call,
                         std::max(milliseconds{1}, call.deadline - s.ctx.now)});
     return true;
@@ -207,6 +210,18 @@
                               : "route allows no further attempt, or no other upstream available");
 }
 
+/// An attempt ended that did not run: without another one that may have, the request does not count as usage.
+void takeBackUsage(step &s, call_state &call)
+{
+    const bool mayRun = call.mayHaveRun || std::ranges::any_of(call.running, [](const call_attempt &attempt) {
+                            return !attempt.upstream.empty();
+                        });
+    if (call.usageWindow && !mayRun) {
+        uncountUsage(s, call.call, *call.usageWindow);
+        call.usageWindow.reset();
+    }
+}
+
 /// True if a failed attempt may be followed by another one.
 bool mayRetryFailure(const call_origin &origin, const call_state &call)
 {
@@ -460,11 +475,13 @@
                       ended.end == call_end::not_run ? "call refused" : "no connection");
         // The request did not run, so this attempt does not count against the route's limit.
         --call.sent;
+        takeBackUsage(s, call);
         break;
     case call_end::misdirected:
         ejectUpstream(s, operation.upstream, kMisdirectedCallEjection,
                       "another server responds at its address");
         --call.sent;
+        takeBackUsage(s, call);
         break;
     case call_end::incomplete:
     case call_end::timed_out:
--- a/src/node_duties.cpp
+++ b/src/node_duties.cpp
@@ -189,6 +189,7 @@
     }
     onLeaseChanged(s, expireLease(duties.lease, s.ctx.now), "not renewed in time");
     if (s.state.stopping) {
+        s.state.advisoryUrgent |= !isUsageTold(s.state);
         if (duties.lease.held && duties.lease.op.value == 0) {
             writeDutyLease(s, true);
         }
@@ -270,7 +271,7 @@
 
 bool areDutiesReleased(const node_state &state)
 {
-    return !state.duties.lease.held;
+    return !state.self.duties || (!state.duties.lease.held && isUsageTold(state));
 }
 
 } // namespace jacinthvale::node
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -363,6 +363,15 @@
 bool areDutiesReleased(const node_state &state);
 
 // Usage (node_usage.cpp).
+/// Counts a request that an upstream begins. @returns the window in which it counts; nullopt if it has no
+/// account or usage is not reported.
+std::optional<std::uint64_t> countUsage(step &s, const client_call &call);
+/// Takes a request back that no upstream began.
+void uncountUsage(step &s, const client_call &call, std::uint64_t window);
+/// Sets the own clock and counts in the advisory. Called before it is written.
+void updateUsageAdvisory(step &s);
+/// True if the store has all counts of this process.
+bool isUsageTold(const node_state &state);
 /// Reports usage. Only for the holder of the duties.
 void reportUsage(step &s);
 void onUsageReported(step &s, const usage_report &report, const call_ended &ended);
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -376,6 +376,10 @@
         stream->released = true;
     } else {
         recordHeard(s);
+        if (!stream->isCounted && stream->call.resumeAfter == 0) {
+            stream->isCounted = true;
+            countUsage(s, stream->call);
+        }
     }
     if (!stream->upstream.empty() && !stream->build && !progress.events.empty()) {
         stream->build = stream->upstreamBuild;
