Keys of client accounts decide who may send a request

Ruled out: counting the age of the configuration from the arrival of an answer (a freeze between the two hides a change); strict order by rank (low ranks would starve). Batches belong to an account, named at the end of their head row. The table of accounts rejects a key in two accounts, and is built in n log n. Two headers of one name are now visible to the adapter.

--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -7,6 +7,7 @@
 #include <jacinthvale/verdict.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -50,6 +51,8 @@
     std::string body;
     /// Path and query as received, not decoded.
     std::string target = {};
+    /// Names that came more than once; `headers` has the first value of each.
+    std::set<std::string, header_less> repeatedHeaders = {};
 };
 
 /// The caller of an unfinished exchange disconnected, or was disconnected because it reads too slowly.
--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -6,6 +6,7 @@
 /// batch; every later write for the batch is conditional on that row.
 #pragma once
 
+#include <jacinthvale/node_currency.h>
 #include <jacinthvale/node_event.h>
 #include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
@@ -391,6 +392,8 @@
     /// The read in progress; 0 if none.
     op_id readOp;
     instant readSentAt{};
+    /// The read in progress, or the first one of a full read. Only for the operators' table.
+    operators_reading reading;
     /// Changes that the next read from the store returns were written later than this.
     instant snapshotAt{};
     instant nextAt{};
@@ -404,6 +407,8 @@
 {
     exchange_id exchange;
     batch_id batch;
+    /// Account of the reader.
+    account_id account;
     std::size_t after = 0;
     instant until{};
     instant nextAt{};
@@ -671,6 +676,7 @@
 {
     batch_id batch;
     exchange_id exchange;
+    account_id account;
     bool readingHead = false;
 };
 struct page_operation
@@ -683,6 +689,7 @@
     exchange_id exchange;
     batch_id batch;
     item_id item;
+    account_id account;
     std::string bytes;
     bool readingHead = false;
 };
@@ -771,6 +778,8 @@
     std::vector<table_feed> feeds;
     bool configKnown = false;
     route_table config;
+    configuration_evidence evidence;
+    store_clock_bound storeClock;
     std::map<model_id, weight_version> namedVersions;
     std::map<model_id, version_pace> versionPaces;
     std::map<upstream_id, upstream_view> upstreams;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -55,6 +55,18 @@
     return headers;
 }
 
+std::set<std::string, header_less> findRepeatedHeaders(evkeyvalq *list)
+{
+    std::set<std::string, header_less> seen;
+    std::set<std::string, header_less> repeated;
+    for (evkeyval *item = list->tqh_first; item != nullptr; item = item->next.tqe_next) {
+        if (!seen.emplace(item->key).second) {
+            repeated.emplace(item->key);
+        }
+    }
+    return repeated;
+}
+
 std::map<std::string, std::string> readQuery(const char *query)
 {
     std::map<std::string, std::string> result;
@@ -235,11 +247,11 @@
         evhttp_connection_set_closecb(connection, &implementation::closed, &open);
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
         const char *path = evhttp_uri_get_path(uri);
+        evkeyvalq *headers = evhttp_request_get_input_headers(request);
         m_listener.onRequest({id, methodName(evhttp_request_get_command(request)),
                               decodePercent(path == nullptr ? "" : path, false),
-                              readQuery(evhttp_uri_get_query(uri)),
-                              readHeaders(evhttp_request_get_input_headers(request)), readBody(request),
-                              evhttp_request_get_uri(request)});
+                              readQuery(evhttp_uri_get_query(uri)), readHeaders(headers), readBody(request),
+                              evhttp_request_get_uri(request), findRepeatedHeaders(headers)});
     }
 
     /// evhttp closes the connection of an unfinished exchange.
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -60,6 +60,16 @@
     }
 }
 
+void answerResubmission(step &s, exchange_id exchange, const batch_head &head, const account_id &account)
+{
+    if (!mayAccess(head.spec.account, account)) {
+        refuseForeignBatch(s, exchange, head.spec.id, account);
+        return;
+    }
+    s.log("batch-already-accepted", head.spec.id.value, "accepted earlier, or stored by another daemon");
+    s.emit(accept_batch{exchange});
+}
+
 void adoptAcceptedBatch(step &s, batch spec, std::uint64_t epoch, std::uint64_t headVersion,
                         std::uint64_t acceptedAtMs)
 {
@@ -114,13 +124,22 @@
 {
     node_state &state = s.state;
     const batch_id &id = received.spec.id;
-    if (state.heads.contains(id)) {
-        s.log("batch-already-accepted", id.value, "accepted earlier");
-        s.emit(accept_batch{received.exchange});
+    const route *matched = findRoute(state.config, received.spec.host, received.spec.path);
+    const auto account = admitRequest(s, received.exchange, id.value, received.key,
+                                      matched != nullptr && matched->isPublic);
+    if (!account) {
+        return;
+    }
+    if (const auto head = state.heads.find(id); head != state.heads.end()) {
+        answerResubmission(s, received.exchange, head->second, *account);
         return;
     }
     if (const auto found = state.pending.find(id); found != state.pending.end()) {
-        found->second.exchanges.push_back(received.exchange);
+        if (mayAccess(found->second.spec.account, *account)) {
+            found->second.exchanges.push_back(received.exchange);
+        } else {
+            refuseForeignBatch(s, received.exchange, id, *account);
+        }
         return;
     }
     if (state.stopping || !state.configKnown) {
@@ -143,6 +162,7 @@
     head.acceptedAtMs = storeTime(state, s.ctx.now);
     head.workTokens = totalTokens(received.spec);
     head.spec = received.spec;
+    head.spec.account = *account;
     const op_id op = s.open(accept_operation{id});
     commit_rows commit{op, batchPartition(id), {{table_id::heads, id.value, 0}}, {}, kAcceptTimeout};
     const std::string headValue = encodeHead(head);
@@ -156,6 +176,7 @@
         commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
     }
     state.pending[id] = {received.spec, {received.exchange}, headValue, s.ctx.now};
+    state.pending[id].spec.account = *account;
     s.emit(std::move(commit));
 }
 
@@ -175,6 +196,7 @@
                   + head.spec.model.value,
           {{"model", head.spec.model.value},
            {"step", static_cast<std::int64_t>(head.spec.step)},
+           {"account", head.spec.account.value},
            {"receivedAgoMs", (s.ctx.now - accepted.receivedAt).count()}});
     answerPendingExchanges(s, id, [&](exchange_id exchange) { s.emit(accept_batch{exchange}); });
     const std::uint64_t acceptedAtMs = head.acceptedAtMs;
@@ -204,8 +226,16 @@
     if (head != nullptr) {
         onHeadRow(s, *head);
     }
-    s.log("batch-already-accepted", id.value, "stored by another daemon");
-    answerPendingExchanges(s, id, [&](exchange_id exchange) { s.emit(accept_batch{exchange}); });
+    const account_id account = found->second.spec.account;
+    const auto stored = head == nullptr ? std::nullopt : decodeHead(*head);
+    answerPendingExchanges(s, id, [&](exchange_id exchange) {
+        if (stored) {
+            answerResubmission(s, exchange, *stored, account);
+        } else {
+            s.log("batch-already-accepted", id.value, "stored by another daemon, head row not readable");
+            s.emit(accept_batch{exchange});
+        }
+    });
 }
 
 void onAcceptFailed(step &s, const batch_id &id, const store_failed &failure)
@@ -300,10 +330,11 @@
     retainOutputs(s, batch);
     // From now on, the waiting readers are served from the store.
     const std::vector<waiting_reader> readers = std::move(batch.readers);
+    const account_id account = batch.spec.account;
     s.state.owned.erase(found);
     s.log("batch-dropped", id.value, reason + "; items not committed " + std::to_string(uncommitted));
     for (const waiting_reader &reader : readers) {
-        page_read page{reader.exchange, id, reader.after, reader.until, s.ctx.now, false, {}};
+        page_read page{reader.exchange, id, account, reader.after, reader.until, s.ctx.now, false, {}};
         page.requestedAt = s.ctx.now;
         s.state.pages.insert_or_assign(reader.exchange, page);
     }
@@ -421,7 +452,9 @@
 
 void onBatchEndRequested(step &s, const batch_end_requested &request)
 {
-    continueBatchEnd(s, {request.batch, request.exchange, false});
+    if (const auto account = admitBatchRequest(s, request.exchange, request.batch, request.key)) {
+        continueBatchEnd(s, {request.batch, request.exchange, *account, false});
+    }
 }
 
 void continueBatchEnd(step &s, const batch_end_operation &operation)
@@ -432,8 +465,13 @@
             s.emit(refuse_call{operation.exchange, refusal::not_found, {}});
             return;
         }
-        requestHeadRow(s, s.open(batch_end_operation{operation.batch, operation.exchange, true}),
-                       operation.batch);
+        requestHeadRow(
+                s, s.open(batch_end_operation{operation.batch, operation.exchange, operation.account, true}),
+                operation.batch);
+        return;
+    }
+    if (!mayAccess(found->second.spec.account, operation.account)) {
+        refuseForeignBatch(s, operation.exchange, operation.batch, operation.account);
         return;
     }
     if (found->second.ended) {
@@ -442,7 +480,8 @@
     }
     batch_head ended = found->second;
     ended.ended = true;
-    const op_id op = s.open(batch_end_operation{operation.batch, operation.exchange, false});
+    const op_id op
+            = s.open(batch_end_operation{operation.batch, operation.exchange, operation.account, false});
     s.emit(commit_rows{op,
                        batchPartition(operation.batch),
                        {{table_id::heads, operation.batch.value, found->second.rowVersion}},
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -125,6 +125,16 @@
     return milliseconds{static_cast<std::int64_t>(kHedgeDelayShare * objective)};
 }
 
+/// @returns the verdict on a client's call as of now: its key may have been taken away while it waited. The
+/// daemon that relayed a call has decided on it.
+access_verdict currentAccess(const step &s, const call_origin &origin, const call_state &call)
+{
+    if (std::holds_alternative<reward_origin>(origin) || call.call.isRelayed) {
+        return access_granted{};
+    }
+    return accessOf(s.state, call.call.key, call.matchedRoute.isPublic, s.ctx.now);
+}
+
 /// Sends a call to another daemon, because this one may have no path to the upstreams. The other one may send
 /// it to a single upstream.
 bool relayAttempt(step &s, const call_origin &origin, call_state &call)
@@ -155,6 +165,9 @@
 
 bool startAttempt(step &s, const call_origin &origin, call_state &call)
 {
+    if (!std::holds_alternative<access_granted>(currentAccess(s, origin, call))) {
+        return false;
+    }
     if (isPathDoubtful(s.state) && (s.state.path.lost || !call.tried.empty())
         && relayAttempt(s, origin, call)) {
         return true;
@@ -197,6 +210,16 @@
         return;
     }
     const refusal kind = call.mayHaveRun ? refusal::may_have_run : refusal::not_run;
+    const access_verdict access = currentAccess(s, origin, call);
+    if (const auto *undecided = std::get_if<access_undecided>(&access)) {
+        refuseCall(s, origin, kind, "the key may have been taken away meanwhile", undecided->retryAfter);
+        return;
+    }
+    if (std::holds_alternative<access_denied>(access)) {
+        refuseCall(s, origin, call.mayHaveRun ? kind : refusal::unauthorized,
+                   "the key was taken away meanwhile");
+        return;
+    }
     if (mayCrashUpstreams(origin) && isQuarantined(s.state, call.content)) {
         s.emit(count{"calls_quarantined"});
         refuseCall(s, origin, kind, "upstreams crash under this content", kQuarantineRetryAfter);
@@ -239,14 +262,29 @@
         s.emit(refuse_call{exchange, refusal::not_found, {}});
         return;
     }
+    client_call admitted = call;
+    if (call.isRelayed) {
+        if (!call.account && state.config.accounts && !matched->isPublic) {
+            s.log("call-refused", call.id.value, "relayed without the account of its key");
+            s.emit(refuse_call{exchange, refusal::not_run, kRetryAfter});
+            return;
+        }
+        admitted.account = accountForUpstream(state, call.account.value_or(account_id{}));
+    } else {
+        const auto account = admitRequest(s, exchange, call.id.value, call.key, matched->isPublic);
+        if (!account) {
+            return;
+        }
+        admitted.account = accountForUpstream(state, *account);
+    }
     route limited = *matched;
     limited.maxAttempts = std::min(limited.maxAttempts, attempts.value_or(limited.maxAttempts));
     if (limited.kind == route_kind::stream) {
-        onStreamRequested(s, call, limited);
+        onStreamRequested(s, admitted, limited);
         return;
     }
     call_state newCall;
-    newCall.call = call;
+    newCall.call = std::move(admitted);
     newCall.content = contentOf(call);
     newCall.tried = std::move(tried);
     recordDemand(s, pickService(limited, stableHash(call.id.value)), 1);
@@ -345,7 +383,8 @@
     }
     const refusal reason = ended.answer->reason;
     return !ended.answer->answered
-           && (reason == refusal::not_run || reason == refusal::not_found || reason == refusal::malformed);
+           && (reason == refusal::not_run || reason == refusal::not_found || reason == refusal::malformed
+               || reason == refusal::unauthorized);
 }
 
 void leaveLostPath(step &s)
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -70,6 +70,9 @@
 {
     feed.readOp = s.open(feed_operation{feed.table});
     feed.readSentAt = s.ctx.now;
+    if (!isFullReadPending(feed) || feed.fullReadVersion == 0) {
+        feed.reading = {s.ctx.now, feed.version, s.state.storeClock.leastAt(s.ctx.now), 0, 0};
+    }
     if (const auto peer = upstreamDeltaSource(s, feed)) {
         s.emit(request_upstream_delta{feed.readOp, *peer, isFullReadPending(feed) ? 0 : feed.version});
         return;
@@ -163,6 +166,23 @@
     }
 }
 
+/// The operators' table was read up to its end.
+void recordEvidence(step &s, const table_feed &feed)
+{
+    if (const auto age = s.state.evidence.ageAt(s.ctx.now)) {
+        s.emit(observe{"config_evidence_age_ms", static_cast<double>(age->count())});
+    }
+    const instant proven = provenAt(feed.reading).value_or(instant{});
+    if (!s.state.evidence.add(feed.reading) || proven < feed.reading.sentAt) {
+        s.log("config-evidence-stale", std::to_string(s.state.config.version),
+              "the answer is older than its read: version " + std::to_string(feed.reading.version)
+                      + ", known before " + std::to_string(feed.reading.knownVersion) + "; store clock "
+                      + std::to_string(feed.reading.storeMs) + ", at least "
+                      + std::to_string(feed.reading.leastStoreMs));
+        s.emit(count{"config_evidence_stale"});
+    }
+}
+
 void applyRow(step &s, table_id table, const row_change &change)
 {
     switch (table) {
@@ -299,7 +319,9 @@
         table_feed feed;
         feed.table = settings.table;
         feed.pollInterval = settings.baseInterval;
-        feed.wait = settings.longPollTimeout;
+        feed.wait = settings.table == table_id::operators
+                            ? operatorsPollWait(s.state.self.revocationBound, settings.longPollTimeout)
+                            : settings.longPollTimeout;
         feed.partitions = tablePartitions(settings.table);
         feed.nextAt = s.ctx.now;
         s.state.feeds.push_back(std::move(feed));
@@ -324,6 +346,10 @@
         s.state.headsChanged = !answer.rows.empty();
     }
     const bool fullRead = isFullReadPending(feed);
+    if (!fullRead || feed.fullReadVersion == 0) {
+        feed.reading.version = answer.version;
+        feed.reading.storeMs = answer.storeNowMs;
+    }
     if (!fullRead) {
         feed.version = std::max(feed.version, answer.version);
     }
@@ -341,6 +367,9 @@
     }
     if (!fullRead) {
         feed.nextAt = s.ctx.now + (answer.truncated ? milliseconds{0} : feed.pollInterval);
+        if (table == table_id::operators && !answer.truncated) {
+            recordEvidence(s, feed);
+        }
         return;
     }
     if (feed.fullReadVersion == 0) {
@@ -358,6 +387,9 @@
     }
     removeUnseenRows(s, feed);
     recordFeedRead(s, feed, feed.fullReadVersion);
+    if (table == table_id::operators) {
+        recordEvidence(s, feed);
+    }
 }
 
 bool isFullReadPending(const table_feed &feed)
--- a/src/node_members.cpp
+++ b/src/node_members.cpp
@@ -311,13 +311,15 @@
     });
     // Without a path of its own this daemon serves callers through others, if there are any.
     const bool served = !state.path.lost || relayPeer(s, {}).has_value();
-    const bool ready = state.configKnown && synced && !state.stopping && served
+    const bool current = isConfigurationCurrent(state, s.ctx.now);
+    const bool ready = state.configKnown && synced && !state.stopping && served && current
                        && s.ctx.now - state.lastStoreAnswerAt < kStoreUnavailableAfter;
     if (ready != state.ready) {
         state.ready = ready;
         s.log(ready ? "ready" : "not-ready", state.self.host.value,
               "last answer of the store " + std::to_string((s.ctx.now - state.lastStoreAnswerAt).count())
-                      + " ms ago" + (served ? "" : ", no path to the upstreams and no daemon that has one"));
+                      + " ms ago" + (served ? "" : ", no path to the upstreams and no daemon that has one")
+                      + (current ? "" : ", configuration may have changed without this daemon knowing"));
         s.emit(set_readiness{ready});
     }
 }
--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -129,18 +129,31 @@
 
 void onPageRequested(step &s, const page_requested &request)
 {
+    const auto account = admitBatchRequest(s, request.exchange, request.batch, request.key);
+    if (!account) {
+        return;
+    }
     const instant until = s.ctx.now + request.wait;
     if (const auto owned = s.state.owned.find(request.batch); owned != s.state.owned.end()) {
+        if (!mayAccess(owned->second.spec.account, *account)) {
+            refuseForeignBatch(s, request.exchange, request.batch, *account);
+            return;
+        }
         const waiting_reader reader{request.exchange, request.after, until};
         if (!answerReader(s, owned->second, reader)) {
             owned->second.readers.push_back(reader);
         }
         return;
     }
-    page_read page{request.exchange, request.batch, request.after, until, s.ctx.now, false, {}};
+    const auto head = s.state.heads.find(request.batch);
+    if (head != s.state.heads.end() && !mayAccess(head->second.spec.account, *account)) {
+        refuseForeignBatch(s, request.exchange, request.batch, *account);
+        return;
+    }
+    page_read page{request.exchange, request.batch, *account, request.after, until, s.ctx.now, false, {}};
     page.requestedAt = s.ctx.now;
     page_read &stored = s.state.pages.insert_or_assign(request.exchange, page).first->second;
-    requestPageRows(s, stored, !s.state.heads.contains(request.batch));
+    requestPageRows(s, stored, head == s.state.heads.end());
 }
 
 void onPageRows(step &s, const page_operation &operation, const rows_received &rows)
@@ -155,13 +168,19 @@
         for (const row_change &change : rows.rows) {
             onHeadRow(s, change.row);
         }
-        if (!s.state.heads.contains(page.batch)) {
+        const auto head = s.state.heads.find(page.batch);
+        if (head == s.state.heads.end()) {
             s.log("page-of-unknown-batch", page.batch.value,
                   "the store has no head row; the reader is refused");
             s.emit(refuse_call{page.exchange, refusal::not_found, {}});
             s.state.pages.erase(found);
             return;
         }
+        if (!mayAccess(head->second.spec.account, page.account)) {
+            refuseForeignBatch(s, page.exchange, page.batch, page.account);
+            s.state.pages.erase(found);
+            return;
+        }
         requestPageRows(s, page, false);
         return;
     }
@@ -194,9 +213,21 @@
     }
 }
 
-void onItemRequested(step &s, const item_requested &request)
+namespace {
+
+/// Answers with the body of an item, or reads what is needed for that.
+void findItem(step &s, const item_operation &request)
 {
-    if (const auto owned = s.state.owned.find(request.batch); owned != s.state.owned.end()) {
+    const auto owned = s.state.owned.find(request.batch);
+    const auto head = s.state.heads.find(request.batch);
+    const batch *spec = owned != s.state.owned.end()  ? &owned->second.spec
+                        : head != s.state.heads.end() ? &head->second.spec
+                                                      : nullptr;
+    if (spec != nullptr && !mayAccess(spec->account, request.account)) {
+        refuseForeignBatch(s, request.exchange, request.batch, request.account);
+        return;
+    }
+    if (owned != s.state.owned.end()) {
         const auto &items = owned->second.items;
         const auto item = std::ranges::find_if(
                 items, [&](const owned_item &candidate) { return candidate.item.id == request.item; });
@@ -205,16 +236,26 @@
             return;
         }
     }
-    if (!s.state.heads.contains(request.batch)) {
-        requestHeadRow(s, s.open(item_operation{request.exchange, request.batch, request.item, {}, true}),
-                       request.batch);
+    item_operation reading = request;
+    reading.readingHead = head == s.state.heads.end();
+    const op_id op = s.open(reading);
+    if (reading.readingHead) {
+        requestHeadRow(s, op, request.batch);
         return;
     }
-    const op_id op = s.open(item_operation{request.exchange, request.batch, request.item, {}, false});
     s.emit(read_rows{op, table_id::items, batchPartition(request.batch), itemsKeyPrefix(request.batch),
                      progressKeyPrefix(request.batch)});
 }
 
+} // namespace
+
+void onItemRequested(step &s, const item_requested &request)
+{
+    if (const auto account = admitBatchRequest(s, request.exchange, request.batch, request.key)) {
+        findItem(s, {request.exchange, request.batch, request.item, *account, {}, false});
+    }
+}
+
 void onItemRows(step &s, item_operation operation, const rows_received &rows)
 {
     if (operation.readingHead) {
@@ -226,7 +267,7 @@
             s.emit(refuse_call{operation.exchange, refusal::not_found, {}});
             return;
         }
-        onItemRequested(s, {operation.exchange, operation.batch, operation.item});
+        findItem(s, operation);
         return;
     }
     for (const row_change &change : rows.rows) {
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -18,6 +18,7 @@
     if (storeNowMs != 0) {
         s.state.storeNowMs = storeNowMs;
         s.state.storeNowAt = s.ctx.now;
+        s.state.storeClock.add(storeNowMs, s.ctx.now);
     }
 }
 
--- a/src/node_rewards.cpp
+++ b/src/node_rewards.cpp
@@ -100,6 +100,7 @@
     call.call.host = reward.host;
     call.call.target = reward.path;
     call.call.body = reward.body;
+    call.call.account = accountForUpstream(s.state, s.state.owned.at(origin.batch).spec.account);
     call.call.remainingTimeout
             = matchedRoute.timeout.count() > 0 ? matchedRoute.timeout : kDefaultRewardTimeout;
     call.matchedRoute = matchedRoute;
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -162,18 +162,25 @@
 std::string encodeHead(const batch_head &head)
 {
     const batch &spec = head.spec;
-    return pack(head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended, head.total,
-                head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value, spec.step,
-                spec.minVersion.value, spec.groupsWanted);
+    const auto packWith = [&](const auto &...appended) {
+        return pack(head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended, head.total,
+                    head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value, spec.step,
+                    spec.minVersion.value, spec.groupsWanted, appended...);
+    };
+    // Rows of batches without an account keep the format of older builds.
+    return spec.account.empty() ? packWith() : packWith(spec.account.value);
 }
 
 std::optional<batch_head> decodeHead(const row &source)
 {
     batch_head head;
     batch &spec = head.spec;
-    if (!unpack(source.value, head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended,
-                head.total, head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value,
-                spec.step, spec.minVersion.value, spec.groupsWanted)) {
+    const auto unpackWith = [&](auto &...appended) {
+        return unpack(source.value, head.owner.host.value, head.owner.incarnation.value, head.epoch,
+                      head.ended, head.total, head.acceptedAtMs, head.workTokens, spec.host, spec.path,
+                      spec.model.value, spec.step, spec.minVersion.value, spec.groupsWanted, appended...);
+    };
+    if (!unpackWith() && !unpackWith(spec.account.value)) {
         return std::nullopt;
     }
     spec.id.value = source.key.key;
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -138,7 +138,8 @@
     }
     const double slack = latestStart - static_cast<double>(storeTime(s.state, s.ctx.now));
     s.emit(run_item{item.run, view.entry.address, target, batch.spec.host, item.item, item.chunkCount,
-                    urgencyOf(slack, item.isSurplus), progressTimeoutOf(view)});
+                    urgencyOf(slack, item.isSurplus), progressTimeoutOf(view),
+                    accountForUpstream(s.state, batch.spec.account)});
 }
 
 /// Raises the reservation of a run that exceeds its estimated length.
@@ -305,6 +306,17 @@
 
 } // namespace
 
+namespace {
+
+/// @returns the rank of a batch among those of all accounts; 0 where requests need no key.
+unsigned rankOfBatch(const node_state &state, const batch &spec, const route &matchedRoute)
+{
+    const auto &accounts = state.config.accounts;
+    return accounts ? rankOf(accounts->find(spec.account), matchedRoute.priority) : 0;
+}
+
+} // namespace
+
 void startRuns(step &s)
 {
     node_state &state = s.state;
@@ -325,13 +337,14 @@
         if (matchedRoute == nullptr || batch.handingOver) {
             continue;
         }
+        const unsigned rank = rankOfBatch(state, batch.spec, *matchedRoute);
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
             if (item.phase == item_phase::waiting) {
                 const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
                 const double median = snapshots.get(service).medianInterChunkLatencyMs;
-                waiting.push_back({latestStartMs(state, batch, item, *matchedRoute, service, median), &batch,
-                                   i, service});
+                const double latestStart = latestStartMs(state, batch, item, *matchedRoute, service, median);
+                waiting.push_back({rankedStartMs(latestStart, rank), &batch, i, service});
             }
         }
     }
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -103,23 +103,26 @@
     const client_call &call = relayed.call;
     std::vector<std::string> tried;
     std::ranges::transform(relayed.tried, std::back_inserter(tried), &upstream_id::value);
-    return pack(relayed_request{call.id.value,
-                                call.method,
-                                call.host,
-                                call.target,
-                                {call.headers.begin(), call.headers.end()},
-                                call.body,
-                                relayed.remainingTimeout.count(),
-                                call.resumeAfter,
-                                call.resumes.value,
-                                relayed.attempts,
-                                std::move(tried)});
+    const relayed_request request{call.id.value,
+                                  call.method,
+                                  call.host,
+                                  call.target,
+                                  {call.headers.begin(), call.headers.end()},
+                                  call.body,
+                                  relayed.remainingTimeout.count(),
+                                  call.resumeAfter,
+                                  call.resumes.value,
+                                  relayed.attempts,
+                                  std::move(tried)};
+    // Older builds read calls without an account.
+    return call.account ? pack(request, call.account->value) : pack(request);
 }
 
 std::optional<relayed_call_received> unpackRelay(exchange_id exchange, const std::string &body)
 {
     relayed_request request;
-    if (!unpack(body, request)) {
+    std::optional<account_id> account;
+    if (!unpack(body, request) && !unpack(body, request, account.emplace().value)) {
         return std::nullopt;
     }
     client_call call{exchange,
@@ -132,6 +135,7 @@
                      milliseconds{request.remainingMs},
                      request.resumeAfter,
                      {request.resumes}};
+    call.account = std::move(account);
     relayed_call_received received{std::move(call), request.attempts};
     std::ranges::transform(request.tried, std::back_inserter(received.tried),
                            [](const std::string &id) { return upstream_id{id}; });
@@ -156,7 +160,7 @@
     std::uint8_t reason = 0;
     std::vector<std::pair<std::string, std::string>> headers;
     if (!unpack(body, answer.answered, status, headers, answer.body, reason, answer.withoutPath)
-        || reason > static_cast<std::uint8_t>(refusal::malformed)) {
+        || reason > static_cast<std::uint8_t>(refusal::unauthorized)) {
         return std::nullopt;
     }
     answer.status = status;
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -252,6 +252,23 @@
 void onRewardUnanswered(step &s, const reward_origin &origin, const call_state &call,
                         const std::string &reason);
 
+// Who may send a request (node_access.cpp).
+/// @returns the verdict on a request, by the configuration and its evidence as they are now.
+access_verdict accessOf(const node_state &state, const credential &key, bool isPublic, instant now);
+/// Decides on a request, and refuses its exchange unless access is granted. @param subject id for the log.
+/// @returns the account, empty for a request that needs no key; nullopt if the request was refused.
+std::optional<account_id> admitRequest(step &s, exchange_id exchange, const std::string &subject,
+                                       const credential &key, bool isPublic);
+/// Decides on a request about a batch, which names no route.
+std::optional<account_id> admitBatchRequest(step &s, exchange_id exchange, const batch_id &id,
+                                            const credential &key);
+/// Refuses a request about a batch that exists only for another account.
+void refuseForeignBatch(step &s, exchange_id exchange, const batch_id &id, const account_id &account);
+/// @returns the account as requests to upstreams name it; nullopt where requests need no key.
+std::optional<account_id> accountForUpstream(const node_state &state, const account_id &account);
+/// False if keys may have been taken away so long ago that none is accepted any more.
+bool isConfigurationCurrent(const node_state &state, instant now);
+
 // Forwarded calls (node_calls.cpp).
 /// Starts a call of a client or of an item. `call` names the request, the route, and whether it may repeat.
 void startCall(step &s, const call_origin &origin, call_state call);
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -183,6 +183,20 @@
 {
     stream_state &stream = s.state.streams.at(exchange);
     const refusal kind = stream.mayHaveRun ? refusal::may_have_run : refusal::not_run;
+    if (!stream.call.isRelayed && !stream.mayHaveRun && stream.build == std::nullopt) {
+        // Its key may have been taken away while the stream waited. One that has run goes on.
+        const access_verdict access
+                = accessOf(s.state, stream.call.key, stream.matchedRoute.isPublic, s.ctx.now);
+        if (const auto *undecided = std::get_if<access_undecided>(&access)) {
+            failStream(s, exchange, kind, "the key may have been taken away meanwhile",
+                       undecided->retryAfter);
+            return;
+        }
+        if (std::holds_alternative<access_denied>(access)) {
+            failStream(s, exchange, refusal::unauthorized, "the key was taken away meanwhile");
+            return;
+        }
+    }
     if (isQuarantined(s.state, stream.content)) {
         s.emit(count{"calls_quarantined"});
         failStream(s, exchange, kind, "upstreams crash under this content", kQuarantineRetryAfter);
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -77,9 +77,10 @@
 } // namespace
 
 node_simulation::node_simulation(std::uint64_t seed, std::size_t daemons, std::size_t upstreams,
-                                 double storeReads)
+                                 double storeReads, std::optional<milliseconds> revocationBound)
     : m_random(seed)
     , m_storeReads(storeReads)
+    , m_revocationBound(revocationBound)
 {
     putConfig(makeRouteTable());
     setNamedVersion("m0", 1);
@@ -144,6 +145,7 @@
     identity.stopGrace = milliseconds{8000};
     identity.storeReadsPerSecond = m_storeReads;
     identity.sharedReadMinFleetSize = kSimulationSharedReadingThreshold;
+    identity.revocationBound = m_revocationBound;
     self.state = std::make_unique<node_state>(makeNodeState(identity));
     self.up = true;
     const std::uint64_t generation = ++self.generation;
@@ -470,6 +472,15 @@
                 changed.insert(entry->second);
             }
         }
+        if (const auto &since = m_daemons.at(daemon).staleSince) {
+            deliver(daemon, generation,
+                    rows_received{request.op,
+                                  {},
+                                  request.after,
+                                  static_cast<std::uint64_t>(since->time_since_epoch().count()),
+                                  false});
+            return;
+        }
         if (changed.empty() && m_now < requestedAt + request.wait
             && m_daemons.at(daemon).generation == generation) {
             readChanges(daemon, request, requestedAt);
@@ -663,7 +674,7 @@
     return submitted;
 }
 
-exchange_id node_simulation::submitBatch(std::size_t daemon, const batch &submitted)
+exchange_id node_simulation::submitBatch(std::size_t daemon, const batch &submitted, const credential &key)
 {
     for (const batch_item &item : submitted.items) {
         m_chunkCounts[item.id.value] = static_cast<unsigned>(std::stoul(item.body));
@@ -674,48 +685,53 @@
     }
     m_minVersions[submitted.id.value] = submitted.minVersion.value;
     const exchange_id exchange{++m_lastExchange};
-    deliver(daemon, m_daemons.at(daemon).generation, batch_received{exchange, submitted});
+    deliver(daemon, m_daemons.at(daemon).generation, batch_received{exchange, submitted, key});
     return exchange;
 }
 
 exchange_id node_simulation::requestPage(std::size_t daemon, const batch_id &id, std::size_t after,
-                                         milliseconds wait)
+                                         milliseconds wait, const credential &key)
 {
     const exchange_id exchange{++m_lastExchange};
-    deliver(daemon, m_daemons.at(daemon).generation, page_requested{exchange, id, after, wait});
+    deliver(daemon, m_daemons.at(daemon).generation, page_requested{exchange, id, after, wait, key});
     return exchange;
 }
 
-exchange_id node_simulation::requestItem(std::size_t daemon, const batch_id &id, const item_id &item)
+exchange_id node_simulation::requestItem(std::size_t daemon, const batch_id &id, const item_id &item,
+                                         const credential &key)
 {
     const exchange_id exchange{++m_lastExchange};
-    deliver(daemon, m_daemons.at(daemon).generation, item_requested{exchange, id, item});
+    deliver(daemon, m_daemons.at(daemon).generation, item_requested{exchange, id, item, key});
     return exchange;
 }
 
-exchange_id node_simulation::endBatch(std::size_t daemon, const batch_id &id)
+exchange_id node_simulation::endBatch(std::size_t daemon, const batch_id &id, const credential &key)
 {
     const exchange_id exchange{++m_lastExchange};
     m_endRequests[exchange] = id;
-    deliver(daemon, m_daemons.at(daemon).generation, batch_end_requested{exchange, id});
+    deliver(daemon, m_daemons.at(daemon).generation, batch_end_requested{exchange, id, key});
     return exchange;
 }
 
-exchange_id node_simulation::sendCall(std::size_t daemon, const std::string &id, const std::string &path)
+exchange_id node_simulation::sendCall(std::size_t daemon, const std::string &id, const std::string &path,
+                                      const credential &key)
 {
     const exchange_id exchange{++m_lastExchange};
     client_call call{exchange, {id}, "POST", "h.example", path, {}, "", milliseconds{2000}};
+    call.key = key;
     deliver(daemon, m_daemons.at(daemon).generation, call_received{call});
     return exchange;
 }
 
 exchange_id node_simulation::requestStream(std::size_t daemon, const std::string &id, const std::string &path,
-                                           const std::string &stream, std::uint64_t after)
+                                           const std::string &stream, std::uint64_t after,
+                                           const credential &key)
 {
     const exchange_id exchange{++m_lastExchange};
     m_streams[exchange] = {{stream.empty() ? id : stream}, false, false, false, after};
     client_call call{exchange, {id},    "POST", "h.example", path, {}, "", milliseconds{20'000},
                      after,    {stream}};
+    call.key = key;
     deliver(daemon, m_daemons.at(daemon).generation, call_received{call});
     return exchange;
 }
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -104,7 +104,8 @@
 public:
     /// @param storeReads configured limit of store reads per second for all daemons together.
     explicit node_simulation(std::uint64_t seed, std::size_t daemons = 3, std::size_t upstreams = 4,
-                             double storeReads = 2000);
+                             double storeReads = 2000,
+                             std::optional<milliseconds> revocationBound = std::nullopt);
 
     /// Advances the clock by @p time and executes the events that become due.
     void run(milliseconds time);
@@ -112,16 +113,20 @@
     bool runUntil(const std::function<bool()> &condition, milliseconds atMost);
 
     // Calls to a daemon; the returned exchange identifies the answer.
-    exchange_id submitBatch(std::size_t daemon, const node::batch &submitted);
+    exchange_id submitBatch(std::size_t daemon, const node::batch &submitted,
+                            const node::credential &key = {});
     exchange_id requestPage(std::size_t daemon, const node::batch_id &id, std::size_t after,
-                            milliseconds wait = {});
-    exchange_id requestItem(std::size_t daemon, const node::batch_id &id, const node::item_id &item);
-    exchange_id endBatch(std::size_t daemon, const node::batch_id &id);
-    exchange_id sendCall(std::size_t daemon, const std::string &id, const std::string &path = "/plain/1");
+                            milliseconds wait = {}, const node::credential &key = {});
+    exchange_id requestItem(std::size_t daemon, const node::batch_id &id, const node::item_id &item,
+                            const node::credential &key = {});
+    exchange_id endBatch(std::size_t daemon, const node::batch_id &id, const node::credential &key = {});
+    exchange_id sendCall(std::size_t daemon, const std::string &id, const std::string &path = "/plain/1",
+                         const node::credential &key = {});
     /// Requests a stream of events, or the rest of one. @param stream request that brought its first event;
     /// empty for a new stream.
     exchange_id requestStream(std::size_t daemon, const std::string &id, const std::string &path,
-                              const std::string &stream = {}, std::uint64_t after = 0);
+                              const std::string &stream = {}, std::uint64_t after = 0,
+                              const node::credential &key = {});
     const simulated_stream &stream(exchange_id exchange) { return m_streams[exchange]; }
     /// Software versions that generated the events of a stream over all its requests.
     const std::set<std::string> &streamVersions(const std::string &stream)
@@ -154,6 +159,11 @@
     }
     /// Cuts the path of a daemon to all upstreams; the store and other daemons are reached.
     void setUpstreamCut(std::size_t daemon, upstream_cut cut);
+    /// Reads of this daemon return no changes and the store's clock as it was when this was set.
+    void setStoreStale(std::size_t daemon, bool stale)
+    {
+        m_daemons.at(daemon).staleSince = stale ? std::optional(m_now) : std::nullopt;
+    }
     /// The table answers no request of any daemon while set.
     void setStoreDown(bool down) { m_storeDown = down; }
     /// Rejects writes to one table while reads of all tables succeed.
@@ -191,6 +201,11 @@
     /// Sets the weight version that operators name for a model.
     void setNamedVersion(const std::string &model, std::uint64_t version);
     void putConfig(const node::route_table &table);
+    /// Account under which an upstream last got a call, stream, item or reward call.
+    const std::map<std::string, std::optional<node::account_id>> &accountsSeen() const
+    {
+        return m_accountsSeen;
+    }
 
     /// Adds a reward call to each item of a batch.
     static node::batch withRewards(node::batch submitted, const std::string &path = "/plain/reward");
@@ -237,6 +252,7 @@
         std::unique_ptr<node::node_state> state;
         bool up = false;
         bool storeUnreachable = false;
+        std::optional<instant> staleSince;
         upstream_cut cut = upstream_cut::none;
         instant frozenUntil{};
         /// Incremented with each start and kill; events of an earlier generation are dropped.
@@ -351,11 +367,13 @@
     /// The daemon to which each of them was relayed.
     std::map<exchange_id, std::size_t> m_relayTargets;
     std::map<exchange_id, simulated_answer> m_answers;
+    std::map<std::string, std::optional<node::account_id>> m_accountsSeen;
     std::uint64_t m_lastExchange = 0;
     /// Requesting daemon and its operation, by the exchange at the daemon that answers an upstream delta
     /// request.
     std::map<exchange_id, std::pair<std::size_t, node::op_id>> m_deltaRequests;
     double m_storeReads = 0;
+    std::optional<milliseconds> m_revocationBound;
     std::size_t m_readCount = 0;
     std::size_t m_runsStarted = 0;
     std::size_t m_claimCount = 0;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -193,6 +193,7 @@
     if (failsToConnect(daemon, run_ended{request.op, call_end::unreachable})) {
         return;
     }
+    m_accountsSeen[request.item.id.value] = request.account;
     checkNotLeaving(daemon, request.upstream, "run of " + request.item.id.value);
     checkLimit(daemon, request.upstream);
     ++m_runsStarted;
@@ -266,6 +267,7 @@
         return;
     }
     ++m_runsPerUpstream[request.upstream];
+    m_accountsSeen[request.call.id.value] = request.call.account;
     checkNotLeaving(daemon, request.upstream, "call " + request.call.id.value);
     checkLimit(daemon, request.upstream);
     checkRewardCall(request);
@@ -353,6 +355,7 @@
         return;
     }
     ++m_streamRunCount;
+    m_accountsSeen[request.call.id.value] = request.call.account;
     m_streamRuns[{daemon, request.op}] = {request, request.after, target->entry.startedAtMs};
     const std::uint64_t generation = m_daemons.at(daemon).generation;
     schedule(m_now + target->interChunkLatency, [=, this] { produceEvent(daemon, request.op, generation); });
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -161,6 +161,96 @@
     EXPECT_FALSE(platform::encodeRunCall(run).headers.contains("Last-Event-Id"));
 }
 
+namespace {
+
+/// A request as decoded where the configuration has accounts.
+client_call decodeWithKey(const http_headers &headers, bool isRepeated = false)
+{
+    http_request_received request;
+    request.method = "POST";
+    request.path = "/x/1";
+    request.headers = headers;
+    request.headers.emplace("Host", "a.example");
+    if (isRepeated) {
+        request.repeatedHeaders.insert("authorization");
+    }
+    route_table table;
+    table.accounts.emplace();
+    const auto decoded = platform::makePlatformPort()->decodeRequest(request, table);
+    return std::get<call_received>(std::get<node::event>(decoded)).call;
+}
+
+std::string withTenants(const std::string &tenants)
+{
+    return kConfig.substr(0, kConfig.size() - 1) + R"(,"tenants":)" + tenants + "}";
+}
+
+} // namespace
+
+TEST(platform_wire, readsKeyAndDropsIt)
+{
+    const client_call call
+            = decodeWithKey({{"Authorization", "bearer  k1 "}, {"Jacinthvale-Tenant", "forged"}, {"X", "y"}});
+    EXPECT_EQ(call.key, credential(digestOf("k1")));
+    EXPECT_FALSE(call.headers.contains("Authorization"));
+    EXPECT_FALSE(call.headers.contains("Jacinthvale-Tenant"));
+    EXPECT_EQ(call.headers.at("X"), "y");
+}
+
+TEST(platform_wire, readsNoKeyFromOtherAuthorization)
+{
+    EXPECT_EQ(decodeWithKey({}).key, credential(no_key{}));
+    for (const std::string &value :
+         {std::string("Basic azE6eA=="), std::string("Bearer"), std::string("Bearer "),
+          std::string("Bearer k1, Bearer k2"), std::string(), "Bearer " + std::string(10'240, 'k')}) {
+        EXPECT_EQ(decodeWithKey({{"Authorization", value}}).key, credential(unusable_key{}))
+                << value.substr(0, 40);
+    }
+    EXPECT_EQ(decodeWithKey({{"Authorization", "Bearer k1"}}, true).key, credential(unusable_key{}));
+}
+
+TEST(platform_wire, namesAccountInsteadOfKeyToUpstream)
+{
+    forward_call forward;
+    forward.call.headers = {{"authorization", "Bearer k1"}, {"jacinthvale-tenant", "forged"}};
+    EXPECT_EQ(platform::encodeForwardedCall(forward).headers.at("Authorization"), "Bearer k1")
+            << "requests need no key";
+    forward.call.account = account_id{"first"};
+    EXPECT_EQ(platform::encodeForwardedCall(forward).headers.at("Jacinthvale-Tenant"), "first");
+    EXPECT_FALSE(platform::encodeForwardedCall(forward).headers.contains("Authorization"));
+    forward.call.account = account_id{};
+    EXPECT_FALSE(platform::encodeForwardedCall(forward).headers.contains("Jacinthvale-Tenant"));
+    node::run_item run;
+    run.item.headers = {{"Authorization", "Bearer k1"}, {"Jacinthvale-Tenant", "forged"}};
+    run.account = account_id{"first"};
+    EXPECT_EQ(platform::encodeRunCall(run).headers.at("Jacinthvale-Tenant"), "first");
+    EXPECT_FALSE(platform::encodeRunCall(run).headers.contains("Authorization"));
+}
+
+TEST(platform_wire, decodesAccountsOfConfiguration)
+{
+    const decoded_row decoded = decode(
+            table_id::operators, "config",
+            withTenants(R"([{"name":"a","api_keys":["k1","k2"],"priority":3},{"name":"b","api_keys":[]}])"));
+    const auto *table = std::get_if<route_table>(&decoded);
+    ASSERT_NE(table, nullptr);
+    ASSERT_TRUE(table->accounts.has_value());
+    EXPECT_EQ(*table->accounts->find(digestOf("k2")), (client_account{{"a"}, 3U}));
+    EXPECT_EQ(table->accounts->find(account_id{"b"})->priority, std::nullopt);
+}
+
+TEST(platform_wire, doesNotUseConfigurationWithAmbiguousAccounts)
+{
+    for (const char *tenants :
+         {R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+          R"([{"name":"a","api_keys":["k"]},{"name":"a","api_keys":["l"]}])", R"([{"api_keys":["k"]}])",
+          R"([{"name":"a","api_keys":[7]}])", R"(["a"])", R"({"a":["k"]})"}) {
+        EXPECT_TRUE(std::holds_alternative<std::monostate>(
+                decode(table_id::operators, "config", withTenants(tenants))))
+                << tenants;
+    }
+}
+
 TEST(platform_wire, reportsMissingRequiredSettingWithItsPath)
 {
     const auto settings = readNodeSettings(R"({"host":"h"})");
