--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -6,7 +6,9 @@
 /// batch; every later write for the batch is conditional on that row.
 #pragma once
 
+#include <jacinthvale/node_currency.h>
 #include <jacinthvale/node_event.h>
+#include <jacinthvale/node_leases.h>
 #include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
 #include <jacinthvale/node_usage.h>
@@ -391,6 +393,8 @@
     /// The read in progress; 0 if none.
     op_id readOp;
     instant readSentAt{};
+    /// The read in progress, or the first one of a full read. Only for the operators' table.
+    operators_reading reading;
     /// Changes that the next read from the store returns were written later than this.
     instant snapshotAt{};
     instant nextAt{};
@@ -404,6 +408,8 @@
 {
     exchange_id exchange;
     batch_id batch;
+    /// Account of the reader.
+    account_id account;
     std::size_t after = 0;
     instant until{};
     instant nextAt{};
@@ -465,6 +471,8 @@
     /// Answers that report a failed run; for a reward call, including earlier rounds.
     unsigned failures = 0;
     instant nextTryAt{};
+    /// Window of usage in which the request counts; nullopt if it does not count.
+    std::optional<std::uint64_t> usageWindow;
 };
 
 /// A stream that is forwarded to a caller.
@@ -513,6 +521,8 @@
     bool begun = false;
     /// The upstream has ended the stream with success.
     bool complete = false;
+    /// The request counts as usage.
+    bool isCounted = false;
     /// Bytes that wait for the release.
     std::string held;
 };
@@ -641,6 +651,48 @@
     std::map<upstream_id, running_order> orders;
 };
 
+enum class lease_id : std::uint8_t { weights, duties };
+
+/// What the calls of a duty concern; one call is in progress for each at a time. Empty for reports of usage.
+struct duty_subject
+{
+    service_id service;
+    availability_zone_id zone;
+
+    auto operator<=>(const duty_subject &) const = default;
+};
+
+/// Calls for one subject.
+struct duty_progress
+{
+    /// The call in progress; 0 if none.
+    op_id op;
+    /// Calls since the last one that was accepted.
+    unsigned failures = 0;
+    instant nextAt{};
+};
+
+/// Lease for the duties, and the calls of this process while it is the holder.
+struct duty_state
+{
+    lease_state lease;
+    /// Store time at which the holder acquired the lease, according to the row.
+    std::uint64_t acquiredAtMs = 0;
+    /// Store time from which on this process makes calls as the holder.
+    std::uint64_t actsFromMs = 0;
+    /// Record in the last known row, the one that the write in progress contains, and the one to write next.
+    duty_record committed;
+    duty_record writing;
+    duty_record wanted;
+    /// Value of `acquiredAtMs` that the write in progress contains.
+    std::uint64_t writingAcquiredAtMs = 0;
+    /// The wanted record is written before the lease has to be renewed.
+    bool changed = false;
+    /// Earliest time of the next call, of any subject.
+    instant nextCallAt{};
+    std::map<duty_subject, duty_progress> calls;
+};
+
 // Purposes of running operations.
 
 struct feed_operation
@@ -671,6 +723,7 @@
 {
     batch_id batch;
     exchange_id exchange;
+    account_id account;
     bool readingHead = false;
 };
 struct page_operation
@@ -683,6 +736,7 @@
     exchange_id exchange;
     batch_id batch;
     item_id item;
+    account_id account;
     std::string bytes;
     bool readingHead = false;
 };
@@ -705,9 +759,10 @@
     call_origin origin;
     upstream_id upstream;
 };
+/// A write of the row of a lease.
 struct lease_operation
 {
-    bool readingRow = false;
+    lease_id lease = lease_id::weights;
 };
 struct order_operation
 {
@@ -771,6 +826,8 @@
     std::vector<table_feed> feeds;
     bool configKnown = false;
     route_table config;
+    configuration_evidence evidence;
+    store_clock_bound storeClock;
     std::map<model_id, weight_version> namedVersions;
     std::map<model_id, version_pace> versionPaces;
     std::map<upstream_id, upstream_view> upstreams;
@@ -810,6 +867,8 @@
     std::map<std::string, double> callDurations;
     std::map<item_id, retained_output> retainedOutputs;
     weights_leader weightsLeader;
+    duty_state duties;
+    usage_state usage;
 
     std::uint64_t ownRowVersion = 0;
     std::uint64_t heartbeatCount = 0;
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -19,6 +19,9 @@
 /// Format of progress rows that name the build of each text.
 constexpr std::uint8_t kBuildFormat = 3;
 
+/// Format of the row of the lease of the duties.
+constexpr std::uint8_t kDutyFormat = 4;
+
 /// Ends the key of a row that advertises leaving upstreams. Names of hosts contain no slash.
 constexpr const char *kLeavingKeySuffix = "/leaving-upstreams";
 
@@ -162,18 +165,25 @@
 std::string encodeHead(const batch_head &head)
 {
     const batch &spec = head.spec;
-    return pack(head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended, head.total,
-                head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value, spec.step,
-                spec.minVersion.value, spec.groupsWanted);
+    const auto packWith = [&](const auto &...appended) {
+        return pack(head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended, head.total,
+                    head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value, spec.step,
+                    spec.minVersion.value, spec.groupsWanted, appended...);
+    };
+    // Rows of batches without an account keep the format of older builds.
+    return spec.account.empty() ? packWith() : packWith(spec.account.value);
 }
 
 std::optional<batch_head> decodeHead(const row &source)
 {
     batch_head head;
     batch &spec = head.spec;
-    if (!unpack(source.value, head.owner.host.value, head.owner.incarnation.value, head.epoch, head.ended,
-                head.total, head.acceptedAtMs, head.workTokens, spec.host, spec.path, spec.model.value,
-                spec.step, spec.minVersion.value, spec.groupsWanted)) {
+    const auto unpackWith = [&](auto &...appended) {
+        return unpack(source.value, head.owner.host.value, head.owner.incarnation.value, head.epoch,
+                      head.ended, head.total, head.acceptedAtMs, head.workTokens, spec.host, spec.path,
+                      spec.model.value, spec.step, spec.minVersion.value, spec.groupsWanted, appended...);
+    };
+    if (!unpackWith() && !unpackWith(spec.account.value)) {
         return std::nullopt;
     }
     spec.id.value = source.key.key;
@@ -364,6 +374,23 @@
                    : std::nullopt;
 }
 
+std::string encodeDutyLease(const duty_lease_row &lease)
+{
+    const lease_claim &claim = lease.claim;
+    return packAs(kDutyFormat, claim.holder, claim.incarnation, claim.epoch, claim.released,
+                  lease.acquiredAtMs, lease.record);
+}
+
+std::optional<duty_lease_row> decodeDutyLease(const row &source)
+{
+    duty_lease_row lease;
+    lease_claim &claim = lease.claim;
+    return unpackAs<trailing_bytes::ignore>(kDutyFormat, source.value, claim.holder, claim.incarnation,
+                                            claim.epoch, claim.released, lease.acquiredAtMs, lease.record)
+                   ? std::optional(std::move(lease))
+                   : std::nullopt;
+}
+
 void result_assembler::add(const row &fragment)
 {
     if (const auto position = resultPosition(fragment.key.key)) {
