Answers that callers read slowly are bounded by the memory of the host

Cause: callers may read slowly, and what is held for them counts toward the process; a page has up to 0.7 MB, so a few hundred slow readers are over the 120 MB of a small host. Ruled out: a bound for each connection only (300 of 1 MB each are over); ending the largest (a quick reader of 30 MB is no harm); not reading further requests (punishes the quick ones). Change: the server reports unread answers once they take half of the budget, a quarter of `memoryMb`; the reducer ends answers that can be asked for again first, then those that take longest to read.

--- a/include/jacinthvale/http_server.h
+++ b/include/jacinthvale/http_server.h
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event_base;
 
@@ -53,6 +54,19 @@
     /// @returns true while bytes of answers are still on their way to callers.
     bool hasUnsentBytes() const;
 
+    /// Bytes of an answer that its caller has not taken yet.
+    struct unsent_answer
+    {
+        exchange_id exchange;
+        std::size_t bytes = 0;
+        /// The request was a GET.
+        bool repeatable = false;
+    };
+    std::vector<unsent_answer> unsentAnswers() const;
+
+    /// Closes the connection of an answer that is not sent in full. Must not be called from a listener.
+    void drop(exchange_id exchange);
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_impl;
--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -40,6 +40,8 @@
     /// if keys may be accepted for longer while the configuration cannot be read.
     std::optional<milliseconds> revocationBound = {};
     std::optional<duty_settings> duties = {};
+    /// Bytes that may be held for callers that have not read their answers; 0 for no limit.
+    std::size_t answerMemory = 0;
 };
 
 /// Row of a daemon in the table of daemons.
@@ -809,6 +811,7 @@
     /// Smoothed duration in ms of the forwarded calls of each route.
     std::map<std::string, double> callDurations;
     std::map<item_id, retained_output> retainedOutputs;
+    answer_paces answerPaces;
     weights_leader weightsLeader;
 
     std::uint64_t ownRowVersion = 0;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <jacinthvale/node_duties.h>
+#include <jacinthvale/node_memory.h>
 #include <jacinthvale/node_types.h>
 
 #include <absl/status/status.h>
@@ -318,16 +319,23 @@
     std::optional<relayed_answer> answer;
 };
 
+/// Answers that wait for their callers take a large part of the memory for them.
+struct answers_unread
+{
+    std::vector<unread_answer> answers;
+};
+
 struct stop_requested
 {};
 
-using event = std::variant<started, tick, call_received, batch_received, page_requested, item_requested,
-                           batch_end_requested, caller_disconnected, rows_received, history_expired,
-                           rows_committed, rows_conflict, store_failed, run_progressed, run_ended, call_ended,
-                           upstream_status_received, upstream_leave_announced, upstream_limit_read,
-                           upstream_delta_requested, upstream_delta_received, stream_started,
-                           stream_progressed, stream_origin_shared, stream_origin_requested,
-                           stream_origin_received, relayed_call_received, relayed_call_ended, stop_requested>;
+using event
+        = std::variant<started, tick, call_received, batch_received, page_requested, item_requested,
+                       batch_end_requested, caller_disconnected, rows_received, history_expired,
+                       rows_committed, rows_conflict, store_failed, run_progressed, run_ended, call_ended,
+                       upstream_status_received, upstream_leave_announced, upstream_limit_read,
+                       upstream_delta_requested, upstream_delta_received, stream_started, stream_progressed,
+                       stream_origin_shared, stream_origin_requested, stream_origin_received,
+                       relayed_call_received, relayed_call_ended, answers_unread, stop_requested>;
 
 // Effects.
 
@@ -566,6 +574,12 @@
     exchange_id exchange;
 };
 
+/// Closes the connection of a caller that has not read its whole answer.
+struct end_answer
+{
+    exchange_id exchange;
+};
+
 struct set_readiness
 {
     bool ready = false;
@@ -611,8 +625,8 @@
                        run_item, forward_call, forward_stream, relay_call, begin_stream, send_stream,
                        end_stream, share_stream_origin, find_stream_origin, answer_stream_origin, cancel_call,
                        request_upstream_status, order_weights, call_duty, answer_call, refuse_call,
-                       accept_batch, answer_page, answer_item, answer_batch_ended, set_readiness, set_relays,
-                       log_decision, count, observe, end_process>;
+                       accept_batch, answer_page, answer_item, answer_batch_ended, end_answer, set_readiness,
+                       set_relays, log_decision, count, observe, end_process>;
 
 using effects = std::vector<effect>;
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,8 +7,8 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <map>
 #include <ranges>
-#include <set>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -181,7 +181,7 @@
         }
         const scratch_buffer bytes(answer.bytes);
         evhttp_send_reply_chunk(open->request, bytes.get());
-        if (unsentBytes(*open) > m_limits.maxUnreadBytes) {
+        if (unsentBytes(open->connection) > m_limits.maxUnreadBytes) {
             giveUp(*open);
             m_listener.onAbandoned({answer.exchange});
         }
@@ -204,6 +204,41 @@
 
     bool hasUnsentBytes() const { return !m_flushing.empty(); }
 
+    std::vector<unsent_answer> unsentAnswers() const
+    {
+        std::vector<unsent_answer> answers;
+        const auto add = [&](exchange_id id, evhttp_connection *connection, bool repeatable) {
+            if (const std::size_t bytes = unsentBytes(connection); bytes > 0) {
+                answers.push_back({id, bytes, repeatable});
+            }
+        };
+        for (const auto &[connection, flushing] : m_flushing) {
+            add(flushing.id, connection, flushing.repeatable);
+        }
+        for (const auto &[id, open] : m_exchanges) {
+            add(id, open.connection, false);
+        }
+        return answers;
+    }
+
+    void drop(exchange_id id)
+    {
+        if (exchange *open = find(id)) {
+            giveUp(*open);
+            m_listener.onAbandoned({id});
+            return;
+        }
+        const auto found
+                = std::ranges::find(m_flushing, id, [](const auto &entry) { return entry.second.id; });
+        if (found == m_flushing.end()) {
+            return;
+        }
+        evhttp_connection *connection = found->first;
+        m_flushing.erase(found);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_free(connection);
+    }
+
 private:
     struct exchange
     {
@@ -218,6 +253,13 @@
         bool givenUp = false;
     };
 
+    /// An answer that was handed over to evhttp as a whole and is not written yet.
+    struct flushing_answer
+    {
+        exchange_id id;
+        bool repeatable = false;
+    };
+
     static void handle(evhttp_request *request, void *self)
     {
         static_cast<implementation *>(self)->accept(request);
@@ -304,7 +346,7 @@
     /// The connection counts as flushing until evhttp has written the answer or closed the connection.
     void watchFlush(const exchange &open)
     {
-        m_flushing.insert(open.connection);
+        m_flushing[open.connection] = {open.id, evhttp_request_get_command(open.request) == EVHTTP_REQ_GET};
         evhttp_connection_set_closecb(open.connection, &implementation::flushClosed, this);
         evhttp_request_set_on_complete_cb(open.request, &implementation::flushed, this);
     }
@@ -322,9 +364,9 @@
         static_cast<implementation *>(self)->m_flushing.erase(connection);
     }
 
-    static std::size_t unsentBytes(const exchange &open)
+    static std::size_t unsentBytes(evhttp_connection *connection)
     {
-        bufferevent *buffer = evhttp_connection_get_bufferevent(open.connection);
+        bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
         return evbuffer_get_length(bufferevent_get_output(buffer));
     }
 
@@ -335,7 +377,7 @@
     evhttp_bound_socket *m_socket = nullptr;
     std::uint64_t m_lastId = 0;
     std::unordered_map<exchange_id, exchange> m_exchanges;
-    std::set<evhttp_connection *> m_flushing;
+    std::map<evhttp_connection *, flushing_answer> m_flushing;
 };
 
 http_server::http_server(event_base *base, http_server_limits limits, http_server_listener listener)
@@ -384,4 +426,14 @@
     return m_impl->hasUnsentBytes();
 }
 
+std::vector<http_server::unsent_answer> http_server::unsentAnswers() const
+{
+    return m_impl->unsentAnswers();
+}
+
+void http_server::drop(exchange_id exchange)
+{
+    m_impl->drop(exchange);
+}
+
 } // namespace jacinthvale
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -355,6 +355,7 @@
                             }
                         });
                     },
+                    [&](const answers_unread &measured) { onAnswersUnread(s, measured); },
                     [&](const stop_requested &) { onStop(s); }},
             incoming);
     return std::move(s.out);
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -301,6 +301,7 @@
     void operator()(const answer_page &answer) const { self.reply(self.m_port->encodeReply(answer)); }
     void operator()(const answer_item &answer) const { self.reply(self.m_port->encodeReply(answer)); }
     void operator()(const answer_batch_ended &answer) const { self.reply(self.m_port->encodeReply(answer)); }
+    void operator()(const end_answer &ended) const { self.m_entryServer->drop(ended.exchange); }
     void operator()(const set_readiness &readiness) const { self.m_ready = readiness.ready; }
     void operator()(const set_relays &relays) const { self.m_store->setPeers(relays.peers); }
     void operator()(const log_decision &entry) const { self.writeLog(entry); }
@@ -322,6 +323,7 @@
                                                 [this] {
                                                     m_tickTimer->start(kTickPeriod);
                                                     post(tick{});
+                                                    measureAnswers();
                                                 }))
     , m_shutdownTimer(std::make_unique<event_timer>(m_base, [this] { exitWhenDrained(); }))
 {
@@ -443,6 +445,23 @@
     static_cast<node_runtime *>(self)->processQueue();
 }
 
+void node_runtime::measureAnswers()
+{
+    const std::size_t budget = m_settings.identity.answerMemory;
+    if (budget == 0 || !m_entryServer) {
+        return;
+    }
+    std::size_t held = 0;
+    answers_unread measured;
+    for (const auto &answer : m_entryServer->unsentAnswers()) {
+        held += answer.bytes;
+        measured.answers.push_back({answer.exchange, answer.bytes, answer.repeatable});
+    }
+    if (held > budget / 2) {
+        post(std::move(measured));
+    }
+}
+
 void node_runtime::processQueue()
 {
     while (!m_queue.empty()) {
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -44,6 +44,9 @@
     static wall_time wallNow();
     void post(event incoming);
     void processQueue();
+    /// Reports the answers that callers have not read, once they take half of the memory for them. Earlier,
+    /// nothing is to be decided.
+    void measureAnswers();
     std::unique_ptr<http_server> listen(const endpoint &address,
                                         std::function<void(http_request_received)> onRequest,
                                         std::function<void(http_exchange_abandoned)> onAbandoned,
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -30,6 +30,10 @@
 /// diagnosis.
 constexpr std::int64_t kDefaultLogLines = 5;
 
+constexpr double kMaxMemoryMb = 1024 * 1024;
+constexpr double kBytesPerMb = 1024 * 1024;
+/// Share of the host's memory for answers that callers have not read.
+constexpr double kAnswerMemoryShare = 0.25;
 constexpr std::int64_t kMaxRevocationBoundMs = 3'600'000;
 constexpr double kMaxUsageSeconds = 3600;
 constexpr double kDefaultUsageWindowSeconds = 5;
@@ -79,6 +83,8 @@
             = checker.number("storeWritesPerSecond", 1, kMaxCallsPerSecond, kDefaultWritesPerSecond);
     settings.identity.sharedReadMinFleetSize = static_cast<std::size_t>(
             checker.integer("sharedReadingFrom", 1, kMaxSharedReadingFrom, kDefaultSharedReadingFrom));
+    const double memoryMb = checker.number("memoryMb", 0, kMaxMemoryMb, 0);
+    settings.identity.answerMemory = static_cast<std::size_t>(memoryMb * kBytesPerMb * kAnswerMemoryShare);
     if (checker.has("revocationBoundMs")) {
         settings.identity.revocationBound
                 = milliseconds{checker.integer("revocationBoundMs", 1, kMaxRevocationBoundMs)};
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -333,6 +333,9 @@
 /// Records that the table lists an upstream of this build.
 void recordBuildListed(step &s, const upstream_build &build);
 
+// Memory held for slow readers (node_memory.cpp).
+void onAnswersUnread(step &s, const answers_unread &measured);
+
 // Weights (node_weights.cpp).
 void runWeightsLeader(step &s);
 void onLeaseRow(step &s, const row &changed);
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -635,3 +635,27 @@
     EXPECT_TRUE(loop.runUntil([&] { return client.received().size() > 4 * 1024 * 1024; }));
     EXPECT_TRUE(loop.runUntil([&] { return !upstream.server.hasUnsentBytes(); }));
 }
+
+TEST(http_server, dropsTheAnswerOfASlowReaderAndServesTheOthers)
+{
+    constexpr std::size_t kBytes = 8 * 1024 * 1024;
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    const raw_client slow(upstream.server.port(), 4096);
+    slow.send("GET /x HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 1; }));
+    raw_client quick(upstream.server.port());
+    quick.send("POST /y HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(loop.runUntil([&] { return upstream.requests.size() == 2; }));
+    upstream.server.reply({upstream.requests[0].exchange, 200, {}, std::string(kBytes, 'a')});
+    upstream.server.reply({upstream.requests[1].exchange, 200, {}, std::string(kBytes, 'b')});
+    const auto unsent = upstream.server.unsentAnswers();
+    ASSERT_EQ(unsent.size(), 2U);
+    EXPECT_TRUE(std::ranges::any_of(unsent, [&](const auto &answer) {
+        return answer.exchange == upstream.requests[0].exchange && answer.repeatable && answer.bytes > 0;
+    }));
+    upstream.server.drop(upstream.requests[0].exchange);
+    EXPECT_TRUE(loop.runUntil([&] { return quick.received().size() > kBytes; }));
+    EXPECT_TRUE(loop.runUntil([&] { return !upstream.server.hasUnsentBytes(); }));
+    EXPECT_TRUE(upstream.server.unsentAnswers().empty());
+}
