Calls that reached an upstream before the path was lost count against the limit of their route

Ruled out: counting all attempts (an idle host sends to all allowed upstreams before it knows of its cut, and its callers would not be served). Change: attempts count if something was heard of any upstream after they were sent. Test node_upstream_path.callThatReachedAnUpstreamCountsAgainstTheLimitOfItsRoute.

--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -139,8 +139,11 @@
 /// it to a single upstream.
 bool relayAttempt(step &s, const call_origin &origin, call_state &call)
 {
-    // Upstreams that this daemon cannot reach do not count against the route's limit.
-    const unsigned used = call.relayed + (s.state.path.lost ? 0 : call.sent);
+    // Attempts that reached no upstream do not count against the route's limit.
+    const auto unreached = std::ranges::count_if(call.running, [&](const call_attempt &attempt) {
+        return !attempt.upstream.empty() && !mayHaveArrived(s.state, attempt.startedAt);
+    });
+    const unsigned used = call.relayed + call.sent - static_cast<unsigned>(unreached);
     const bool mayRelay = std::holds_alternative<exchange_id>(origin) && !call.call.isRelayed
                           && (call.repeatable || !call.mayHaveRun) && used < call.matchedRoute.maxAttempts;
     const auto peer = mayRelay ? relayPeer(s, call.relayedTo) : std::nullopt;
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -314,6 +314,11 @@
 {
     return state.path.lost || !state.path.silent.empty() || !state.path.unreachable.empty();
 }
+/// True unless a request that was sent then found no path: nothing was heard of any upstream since.
+inline bool mayHaveArrived(const node_state &state, instant sentAt)
+{
+    return !state.path.lost || sentAt <= state.path.heardAt;
+}
 /// True if this daemon should leave batches and the weights lease to others.
 bool isRetiring(const node_state &state, instant now);
 /// True unless the daemon of a host has reported that it has no path.
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -145,8 +145,8 @@
 bool relayStream(step &s, exchange_id exchange, stream_state &stream)
 {
     const bool mayRepeat = stream.matchedRoute.resumable || !stream.mayHaveRun;
-    // Upstreams that this daemon cannot reach do not count against the route's limit.
-    const unsigned used = stream.relayed + (s.state.path.lost ? 0 : stream.sent);
+    // Attempts that reached no upstream do not count against the route's limit.
+    const unsigned used = stream.relayed + (mayHaveArrived(s.state, stream.startedAt) ? stream.sent : 0);
     const bool isNumbered = stream.lastEvent > 0 || !stream.begun;
     if (!isPathDoubtful(s.state) || !(s.state.path.lost || !stream.tried.empty()) || !mayRepeat || !isNumbered
         || stream.call.isRelayed || used >= stream.matchedRoute.maxAttempts) {
--- a/tests/test_node_upstream_path.cpp
+++ b/tests/test_node_upstream_path.cpp
@@ -241,6 +241,35 @@
     }
 }
 
+// Guards against calls that run more often than their route allows: they had reached an upstream before the
+// path was lost.
+TEST(node_upstream_path, callThatReachedAnUpstreamCountsAgainstTheLimitOfItsRoute)
+{
+    constexpr std::size_t kPlainUpstreams[] = {4, 5};
+    for (const upstream_cut cut : kCuts) {
+        node_simulation simulation(12, 4);
+        simulation.run(kStartupTime);
+        route_table config = simulation.state(0).config;
+        ++config.version;
+        std::ranges::for_each(config.routes, [](route &changed) { changed.maxAttempts = 1; });
+        simulation.putConfig(config);
+        for (const std::size_t index : kPlainUpstreams) {
+            simulation.upstream(index).callBehaviour = test::call_behaviour::hangs;
+        }
+        simulation.run(kStartupTime);
+        simulation.sendCall(0, "reached");
+        simulation.run(milliseconds{700});
+        simulation.setUpstreamCut(0, cut);
+        simulation.run(kContactTime);
+        std::size_t requests = 0;
+        for (const std::size_t index : kPlainUpstreams) {
+            const auto found = simulation.runsPerUpstream().find(simulation.upstream(index).entry.id);
+            requests += found == simulation.runsPerUpstream().end() ? 0 : found->second;
+        }
+        EXPECT_EQ(requests, 1U) << static_cast<int>(cut);
+    }
+}
+
 // Guards against handing batches over for a moment in which all connections break.
 TEST(node_upstream_path, brokenConnectionsAloneAreNoLostPath)
 {
