Reads of the operators' table do not wait while the evidence has to be renewed

Cause: after a cut or a freeze the first read waits half a second for a change, and keys are refused until it ends. Change: past half of the admission limit a read asks without a wait, unless the last answer was older than its read. Tests not run yet.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -394,6 +394,8 @@
     instant readSentAt{};
     /// The read in progress, or the first one of a full read. Only for the operators' table.
     operators_reading reading;
+    /// The last answer was older than its read, so another one is not likely to be better.
+    bool staleAnswer = false;
     /// Changes that the next read from the store returns were written later than this.
     instant snapshotAt{};
     instant nextAt{};
--- a/include/jacinthvale/node_currency.h
+++ b/include/jacinthvale/node_currency.h
@@ -70,4 +70,8 @@
 /// survives a lost answer.
 milliseconds operatorsPollWait(std::optional<milliseconds> bound, milliseconds usual);
 
+/// True if the next read should not wait for a change, because its answer renews the evidence.
+/// @param limit admission limit; nullopt if keys are admitted on any evidence.
+bool isRenewalDue(std::optional<milliseconds> evidenceAge, std::optional<milliseconds> limit);
+
 } // namespace jacinthvale::node
--- a/src/node_access.cpp
+++ b/src/node_access.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-std::optional<milliseconds> limitOf(const node_state &state)
-{
-    const auto &bound = state.self.revocationBound;
-    return bound ? std::optional(admissionLimit(*bound)) : std::nullopt;
-}
-
 std::string ageText(const node_state &state, instant now)
 {
     const auto age = state.evidence.ageAt(now);
@@ -21,11 +15,17 @@
 
 } // namespace
 
+std::optional<milliseconds> admissionLimitOf(const node_state &state)
+{
+    const auto &bound = state.self.revocationBound;
+    return bound ? std::optional(admissionLimit(*bound)) : std::nullopt;
+}
+
 access_verdict accessOf(const node_state &state, const credential &key, bool isPublic, instant now)
 {
     return authenticate({key, isPublic, state.configKnown,
                          state.config.accounts ? &*state.config.accounts : nullptr, state.evidence.ageAt(now),
-                         limitOf(state)});
+                         admissionLimitOf(state)});
 }
 
 std::optional<account_id> admitRequest(step &s, exchange_id exchange, const std::string &subject,
@@ -73,7 +73,7 @@
 
 bool isConfigurationCurrent(const node_state &state, instant now)
 {
-    const auto limit = limitOf(state);
+    const auto limit = admissionLimitOf(state);
     const auto age = state.evidence.ageAt(now);
     return !state.config.accounts || !limit || (age && *age <= *limit);
 }
--- a/src/node_currency.cpp
+++ b/src/node_currency.cpp
@@ -78,4 +78,9 @@
     return bound ? std::min(usual, std::max(kMinWait, *bound / kWaitsPerBound)) : usual;
 }
 
+bool isRenewalDue(std::optional<milliseconds> evidenceAge, std::optional<milliseconds> limit)
+{
+    return limit && (!evidenceAge || *evidenceAge > *limit / 2);
+}
+
 } // namespace jacinthvale::node
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -82,7 +82,9 @@
         s.emit(read_rows{feed.readOp, feed.table, feed.partitions[feed.partitionIndex], feed.from, {}});
         return;
     }
-    s.emit(read_changes{feed.readOp, feed.table, feed.version, feed.wait});
+    const bool renews = feed.table == table_id::operators && !feed.staleAnswer
+                        && isRenewalDue(s.state.evidence.ageAt(s.ctx.now), admissionLimitOf(s.state));
+    s.emit(read_changes{feed.readOp, feed.table, feed.version, renews ? milliseconds{0} : feed.wait});
 }
 
 void updateLastRow(upstream_view &view, const upstream_entry &entry, std::uint64_t version)
@@ -167,13 +169,14 @@
 }
 
 /// The operators' table was read up to its end.
-void recordEvidence(step &s, const table_feed &feed)
+void recordEvidence(step &s, table_feed &feed)
 {
     if (const auto age = s.state.evidence.ageAt(s.ctx.now)) {
         s.emit(observe{"config_evidence_age_ms", static_cast<double>(age->count())});
     }
-    const instant proven = provenAt(feed.reading).value_or(instant{});
-    if (!s.state.evidence.add(feed.reading) || proven < feed.reading.sentAt) {
+    s.state.evidence.add(feed.reading);
+    feed.staleAnswer = provenAt(feed.reading) != feed.reading.sentAt;
+    if (feed.staleAnswer) {
         s.log("config-evidence-stale", std::to_string(s.state.config.version),
               "the answer is older than its read: version " + std::to_string(feed.reading.version)
                       + ", known before " + std::to_string(feed.reading.knownVersion) + "; store clock "
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -266,6 +266,8 @@
 void refuseForeignBatch(step &s, exchange_id exchange, const batch_id &id, const account_id &account);
 /// @returns the account as requests to upstreams name it; nullopt where requests need no key.
 std::optional<account_id> accountForUpstream(const node_state &state, const account_id &account);
+/// @returns the greatest age of the evidence that admits keys; nullopt if any does.
+std::optional<milliseconds> admissionLimitOf(const node_state &state);
 /// False if keys may have been taken away so long ago that none is accepted any more.
 bool isConfigurationCurrent(const node_state &state, instant now);
 
--- a/tests/test_node_currency.cpp
+++ b/tests/test_node_currency.cpp
@@ -112,6 +112,14 @@
     EXPECT_LT(4 * operatorsPollWait(kBound, milliseconds{1000}), admissionLimit(kBound));
 }
 
+TEST(node_currency, readsDoNotWaitWhileEvidenceHasToBeRenewed)
+{
+    EXPECT_FALSE(isRenewalDue(std::nullopt, std::nullopt));
+    EXPECT_FALSE(isRenewalDue(milliseconds{1100}, admissionLimit(kBound)));
+    EXPECT_TRUE(isRenewalDue(milliseconds{2000}, admissionLimit(kBound)));
+    EXPECT_TRUE(isRenewalDue(std::nullopt, admissionLimit(kBound)));
+}
+
 TEST(node_currency, hostCutOffFromStoreStopsAdmittingKeys)
 {
     const auto simulation = makeFleet(1);
