--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -182,6 +182,66 @@
     instant ownedAt{};
 };
 
+/// Identifies one attempt of a daemon to store a batch in several transactions; random.
+using store_attempt_id = number_id<struct store_attempt_tag>;
+
+/// Consecutive items of a batch that are encoded together.
+struct batch_section
+{
+    std::uint64_t items = 0;
+    /// Number of rows.
+    std::uint64_t fragments = 0;
+
+    auto operator<=>(const batch_section &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(items, fragments);
+    }
+};
+
+/// Where the items of a batch are that exceeds one transaction of the store.
+struct batch_manifest
+{
+    store_attempt_id attempt;
+    std::vector<batch_section> sections;
+
+    auto operator<=>(const batch_manifest &) const = default;
+};
+
+/// Decodes the sections of a batch from its rows, one after another.
+struct section_reader
+{
+    batch_manifest manifest;
+    /// Section whose rows arrive, the rows of it that have arrived, and their bytes.
+    std::size_t section = 0;
+    std::uint64_t fragments = 0;
+    std::string bytes = {};
+    /// Items of the sections read so far.
+    std::vector<batch_item> items = {};
+    /// A section could not be decoded.
+    bool damaged = false;
+};
+
+/// Progress of storing a batch that exceeds one transaction of the store (node_large_batches.cpp).
+struct batch_storing
+{
+    batch_manifest manifest;
+    /// Version of the attempt's row; 0 until it is written.
+    std::uint64_t attemptVersion = 0;
+    /// First item of the next section.
+    std::size_t nextItem = 0;
+    /// Rows of the section in progress, and those of them that are stored or in the running transaction.
+    std::vector<std::string> fragments;
+    std::size_t sentFragments = 0;
+    /// Rows of all sections that are stored or in the running transaction.
+    std::size_t sentRows = 0;
+    /// The running transaction writes the head row.
+    bool committingHead = false;
+    instant until{};
+};
+
 /// A batch whose acceptance is not yet confirmed by the store.
 struct pending_batch
 {
@@ -189,8 +249,35 @@
     std::vector<exchange_id> exchanges;
     std::string ownHeadValue;
     instant receivedAt{};
+    /// nullopt if the batch is stored in one transaction.
+    std::optional<batch_storing> storing = {};
+};
+
+/// Row of an attempt to store a batch in several transactions. It exists until the head row of the batch is
+/// committed, in the same transaction, or until the other rows of the attempt are removed.
+struct store_attempt
+{
+    batch_id batch;
+    store_attempt_id attempt;
+    owner_name acceptor;
+    /// The attempt can no longer succeed, and its rows are being removed.
+    bool abandoned = false;
+    std::uint64_t rowVersion = 0;
+    /// When this process first saw the row.
+    instant seenAt{};
 };
 
+/// Removal of the rows of abandoned attempts to store a batch, one attempt at a time.
+struct attempt_removal
+{
+    /// The operation in progress; 0 if none.
+    op_id op;
+    instant nextAt{};
+};
+
+/// What a takeover reads next.
+enum class load_stage : std::uint8_t { rows, sections, results };
+
 /// A batch that this process takes over, while its rows are read.
 struct loading_batch
 {
@@ -200,7 +287,9 @@
     std::string progressBytes;
     std::vector<item_result> results;
     std::string nextFrom;
-    bool readingResults = false;
+    load_stage stage = load_stage::rows;
+    /// Set if the items are stored in sections.
+    std::optional<section_reader> sections = {};
     /// The read in progress; answers to reads of an earlier takeover of the same batch are ignored.
     op_id op;
 };
@@ -685,6 +774,16 @@
     item_id item;
     std::string bytes;
     bool readingHead = false;
+    /// Set while the sections of the batch are read.
+    std::optional<section_reader> sections = {};
+};
+/// Removes the rows of an abandoned attempt to store a batch.
+struct attempt_removal_operation
+{
+    /// Key of the attempt's row.
+    std::string attempt;
+    /// The attempt's row is removed, too.
+    bool last = false;
 };
 struct release_operation
 {
@@ -750,7 +849,8 @@
                        claim_operation, load_operation, batch_end_operation, page_operation, item_operation,
                        release_operation, checkpoint_operation, run_operation, call_operation,
                        lease_operation, order_operation, identity_operation, stream_operation,
-                       stream_origin_operation, relay_operation, path_operation, duty_operation>;
+                       stream_origin_operation, relay_operation, path_operation, duty_operation,
+                       attempt_removal_operation>;
 
 /// Leaving upstreams that this daemon tells the others, in a row beside its heartbeat.
 struct leaving_advertisement
@@ -800,6 +900,9 @@
     std::map<batch_id, owned_batch> owned;
     std::map<batch_id, pending_batch> pending;
     std::map<batch_id, loading_batch> loading;
+    /// Attempts to store a batch in several transactions, by key of their row.
+    std::map<std::string, store_attempt> storeAttempts;
+    attempt_removal attemptRemoval;
     std::map<exchange_id, page_read> pages;
     page_pace pagePace;
     std::map<call_origin, call_state> calls;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -27,6 +27,8 @@
     malformed,
     /// The request has no key of an account.
     unauthorized,
+    /// The store can never take the batch.
+    not_storable,
 };
 
 /// Answer of another daemon to relay_call: the response of an upstream, or the reason why there is none.
@@ -155,6 +157,8 @@
     /// The operation may have taken effect, or may still take effect.
     bool outcomeUnknown = false;
     std::string reason;
+    /// The store rejected the operation as invalid, and will again.
+    bool invalid = false;
 };
 
 /// One complete chunk of a generation; numbers start at 1.
@@ -364,7 +368,13 @@
     std::string value;
 };
 
-/// Transaction in one partition: all puts take effect if all conditions hold, otherwise none.
+struct row_removal
+{
+    table_id table = table_id::heads;
+    std::string key;
+};
+
+/// Transaction in one partition: all puts and removals take effect if all conditions hold, otherwise none.
 struct commit_rows
 {
     op_id op;
@@ -372,6 +382,7 @@
     std::vector<row_condition> conditions;
     std::vector<row_put> puts;
     milliseconds deadline{4000};
+    std::vector<row_removal> removals = {};
 };
 
 /// Requests changes of the table of upstreams from another daemon instead of the store.
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -17,10 +17,6 @@
 constexpr std::size_t kMaxResultRowsPerCommit = 80;
 constexpr std::size_t kMaxResultBytesPerCommit = 600'000;
 
-/// Time to store a batch before the trainer is told to try another daemon. About a third of the 12 s that
-/// trainers wait, so that their second attempt still has time.
-constexpr milliseconds kAcceptTimeout{3500};
-
 /// Retry delay sent when a batch could not be stored, or when this daemon is stopping or has no configuration
 /// yet. The store may have rejected this host only for a moment.
 constexpr milliseconds kRetryAfterStoreFailure{500};
@@ -44,22 +40,6 @@
                               std::uint64_t{0});
 }
 
-const row *findRow(const std::vector<row> &rows, table_id table, const std::string &key)
-{
-    const auto found = std::ranges::find_if(rows, [&](const row &r) {
-        return r.key.table == table && r.key.key == key && !r.removed && r.version != 0;
-    });
-    return found == rows.end() ? nullptr : &*found;
-}
-
-void answerPendingExchanges(step &s, const batch_id &id, const std::function<void(exchange_id)> &answer)
-{
-    const auto extracted = s.state.pending.extract(id);
-    if (!extracted.empty()) {
-        std::ranges::for_each(extracted.mapped().exchanges, answer);
-    }
-}
-
 void adoptAcceptedBatch(step &s, batch spec, std::uint64_t epoch, std::uint64_t headVersion,
                         std::uint64_t acceptedAtMs)
 {
@@ -67,9 +47,9 @@
     owned.epoch = epoch;
     owned.headVersion = headVersion;
     owned.acceptedAtMs = acceptedAtMs;
-    for (const batch_item &item : spec.items) {
+    for (batch_item &item : spec.items) {
         owned_item ownedItem;
-        ownedItem.item = item;
+        ownedItem.item = std::move(item);
         owned.items.push_back(std::move(ownedItem));
     }
     spec.items.clear();
@@ -87,8 +67,48 @@
             std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()), item.score};
 }
 
+/// @returns the transaction that stores a whole batch, without its operation.
+commit_rows acceptTransaction(const batch &spec, const std::string &headValue)
+{
+    const batch_id &id = spec.id;
+    commit_rows commit{{}, batchPartition(id), {{table_id::heads, id.value, 0}}, {}, kAcceptTimeout};
+    commit.puts.push_back({table_id::heads, id.value, headValue});
+    const std::vector<std::string> fragments = splitIntoFragments(encodeItems(spec.items));
+    for (std::size_t i = 0; i < fragments.size(); ++i) {
+        commit.puts.push_back({table_id::items, itemsKey(id, i), fragments[i]});
+    }
+    const std::vector<std::string> extensions = splitIntoFragments(encodeExtensions(spec.items));
+    for (std::size_t i = 0; i < extensions.size(); ++i) {
+        commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
+    }
+    return commit;
+}
+
 } // namespace
 
+void answerPendingExchanges(step &s, const batch_id &id, const std::function<void(exchange_id)> &answer)
+{
+    const auto extracted = s.state.pending.extract(id);
+    if (!extracted.empty()) {
+        std::ranges::for_each(extracted.mapped().exchanges, answer);
+    }
+}
+
+batch_head newHead(const step &s, const pending_batch &pending)
+{
+    const batch &spec = pending.spec;
+    batch_head head;
+    const auto owners = rankedOwners(s.state, spec.model, s.ctx.now);
+    head.owner = owners.empty() ? ownName(s.state) : owners.front();
+    head.epoch = 1;
+    head.total = spec.items.size();
+    head.acceptedAtMs = storeTime(s.state, pending.receivedAt);
+    head.workTokens = totalTokens(spec);
+    head.spec = {spec.id,         spec.host,         spec.path, spec.model,  spec.step,
+                 spec.minVersion, spec.groupsWanted, {},        spec.account};
+    return head;
+}
+
 void adoptBatch(step &s, owned_batch batch)
 {
     const batch_id id = batch.spec.id;
@@ -135,37 +155,38 @@
         s.emit(refuse_call{received.exchange, refusal::not_run, kRetryAfterOutage});
         return;
     }
-    batch_head head;
-    const auto owners = rankedOwners(state, received.spec.model, s.ctx.now);
-    head.owner = owners.empty() ? ownName(state) : owners.front();
-    head.epoch = 1;
-    head.total = received.spec.items.size();
-    head.acceptedAtMs = storeTime(state, s.ctx.now);
-    head.workTokens = totalTokens(received.spec);
-    head.spec = received.spec;
-    const op_id op = s.open(accept_operation{id});
-    commit_rows commit{op, batchPartition(id), {{table_id::heads, id.value, 0}}, {}, kAcceptTimeout};
-    const std::string headValue = encodeHead(head);
-    commit.puts.push_back({table_id::heads, id.value, headValue});
-    const std::vector<std::string> fragments = splitIntoFragments(encodeItems(received.spec.items));
-    for (std::size_t i = 0; i < fragments.size(); ++i) {
-        commit.puts.push_back({table_id::items, itemsKey(id, i), fragments[i]});
+    pending_batch &pending = state.pending[id];
+    pending = {received.spec, {received.exchange}, {}, s.ctx.now};
+    // A batch that is larger even before it is encoded is not encoded in one piece.
+    if (encodedBytes(pending.spec.items) > kMaxTransactionBytes) {
+        startStoring(s, pending);
+        return;
     }
-    const std::vector<std::string> extensions = splitIntoFragments(encodeExtensions(received.spec.items));
-    for (std::size_t i = 0; i < extensions.size(); ++i) {
-        commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
+    pending.ownHeadValue = encodeHead(newHead(s, pending));
+    commit_rows commit = acceptTransaction(pending.spec, pending.ownHeadValue);
+    if (!fitsOneTransaction(commit)) {
+        startStoring(s, pending);
+        return;
     }
-    state.pending[id] = {received.spec, {received.exchange}, headValue, s.ctx.now};
+    commit.op = s.open(accept_operation{id});
     s.emit(std::move(commit));
 }
 
 void onAcceptCommitted(step &s, const batch_id &id, const rows_committed &committed)
 {
-    const auto found = s.state.pending.find(id);
-    if (found == s.state.pending.end()) {
+    if (const auto found = s.state.pending.find(id);
+        found != s.state.pending.end() && isStoringSections(found->second)) {
+        onSectionsStored(s, found->second, committed.version);
+        return;
+    }
+    auto extracted = s.state.pending.extract(id);
+    if (extracted.empty()) {
         return;
     }
-    const pending_batch accepted = found->second;
+    pending_batch &accepted = extracted.mapped();
+    if (accepted.storing) {
+        s.state.storeAttempts.erase(attemptKey(id, accepted.storing->manifest.attempt));
+    }
     batch_head head = *decodeHead({{table_id::heads, batchPartition(id), id.value},
                                    committed.version,
                                    accepted.ownHeadValue,
@@ -176,7 +197,9 @@
           {{"model", head.spec.model.value},
            {"step", static_cast<std::int64_t>(head.spec.step)},
            {"receivedAgoMs", (s.ctx.now - accepted.receivedAt).count()}});
-    answerPendingExchanges(s, id, [&](exchange_id exchange) { s.emit(accept_batch{exchange}); });
+    for (const exchange_id exchange : accepted.exchanges) {
+        s.emit(accept_batch{exchange});
+    }
     const std::uint64_t acceptedAtMs = head.acceptedAtMs;
     batch_head &cached = s.state.heads[id];
     if (cached.rowVersion > committed.version) {
@@ -187,7 +210,7 @@
     if (cached.owner != ownName(s.state)) {
         return;
     }
-    adoptAcceptedBatch(s, accepted.spec, 1, committed.version, acceptedAtMs);
+    adoptAcceptedBatch(s, std::move(accepted.spec), 1, committed.version, acceptedAtMs);
 }
 
 void onAcceptConflict(step &s, const batch_id &id, const rows_conflict &conflict)
@@ -201,6 +224,10 @@
         onAcceptCommitted(s, id, {conflict.op, head->version, 0});
         return;
     }
+    if (head == nullptr && found->second.storing) {
+        onStoringConflict(s, found->second, conflict);
+        return;
+    }
     if (head != nullptr) {
         onHeadRow(s, *head);
     }
@@ -210,17 +237,41 @@
 
 void onAcceptFailed(step &s, const batch_id &id, const store_failed &failure)
 {
-    s.log("batch-not-stored", id.value,
-          failure.reason + (failure.outcomeUnknown ? "; may still be stored" : "; not stored"));
+    const auto found = s.state.pending.find(id);
+    // Sections without their head row are no batch.
+    const bool mayBeStored
+            = failure.outcomeUnknown && found != s.state.pending.end() && !isStoringSections(found->second);
+    const refusal reason = mayBeStored       ? refusal::may_have_run
+                           : failure.invalid ? refusal::not_storable
+                                             : refusal::not_run;
+    refusePending(s, id, reason, failure.reason);
+}
+
+void refusePending(step &s, const batch_id &id, refusal reason, const std::string &detail)
+{
+    const std::string consequence = reason == refusal::may_have_run   ? "; may still be stored"
+                                    : reason == refusal::not_storable ? "; refused for good"
+                                                                      : "; not stored";
+    s.log("batch-not-stored", id.value, detail + consequence);
     s.emit(count{"batches_not_stored"});
     answerPendingExchanges(s, id, [&](exchange_id exchange) {
-        s.emit(refuse_call{exchange, failure.outcomeUnknown ? refusal::may_have_run : refusal::not_run,
-                           kRetryAfterStoreFailure});
+        s.emit(refuse_call{exchange, reason, kRetryAfterStoreFailure});
+    });
+}
+
+const row *findRow(const std::vector<row> &rows, table_id table, const std::string &key)
+{
+    const auto found = std::ranges::find_if(rows, [&](const row &r) {
+        return r.key.table == table && r.key.key == key && !r.removed && r.version != 0;
     });
+    return found == rows.end() ? nullptr : &*found;
 }
 
 void onHeadRow(step &s, const row &headRow)
 {
+    if (onAttemptRow(s, headRow)) {
+        return;
+    }
     const batch_id id{headRow.key.key};
     if (headRow.removed) {
         s.state.heads.erase(id);
--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -215,6 +215,41 @@
                      progressKeyPrefix(request.batch)});
 }
 
+namespace {
+
+void requestItemSections(step &s, item_operation operation, const std::string &from)
+{
+    const batch_id id = operation.batch;
+    const store_attempt_id attempt = operation.sections->manifest.attempt;
+    const op_id op = s.open(std::move(operation));
+    s.emit(read_rows{op, table_id::items, batchPartition(id), from, sectionRowsEnd(id, attempt)});
+}
+
+/// Searches an item in the sections of its batch; keeps only the section that is not complete yet.
+void onItemSections(step &s, item_operation operation, const rows_received &rows)
+{
+    section_reader &reader = *operation.sections;
+    readSectionRows(reader, rows.rows);
+    const auto item = std::ranges::find(reader.items, operation.item, &batch_item::id);
+    if (item != reader.items.end()) {
+        s.emit(answer_item{operation.exchange, item->body});
+        return;
+    }
+    reader.items.clear();
+    if (isComplete(reader)) {
+        s.emit(refuse_call{operation.exchange, refusal::not_found, {}});
+        return;
+    }
+    if (reader.damaged || rows.rows.empty() || !rows.truncated) {
+        s.log("items-unreadable", operation.batch.value, "sections are missing or damaged");
+        s.emit(refuse_call{operation.exchange, refusal::not_run, kReaderRetryAfter});
+        return;
+    }
+    requestItemSections(s, std::move(operation), rows.rows.back().row.key.key + '\1');
+}
+
+} // namespace
+
 void onItemRows(step &s, item_operation operation, const rows_received &rows)
 {
     if (operation.readingHead) {
@@ -229,6 +264,10 @@
         onItemRequested(s, {operation.exchange, operation.batch, operation.item});
         return;
     }
+    if (operation.sections) {
+        onItemSections(s, std::move(operation), rows);
+        return;
+    }
     for (const row_change &change : rows.rows) {
         operation.bytes += change.row.value;
     }
@@ -239,6 +278,13 @@
         s.emit(read_rows{op, table_id::items, batchPartition(id), from, progressKeyPrefix(id)});
         return;
     }
+    if (auto manifest = decodeManifest(operation.bytes)) {
+        operation.bytes.clear();
+        const std::string from = sectionRowsBegin(operation.batch, manifest->attempt);
+        operation.sections = section_reader{*std::move(manifest)};
+        requestItemSections(s, std::move(operation), from);
+        return;
+    }
     const auto items = decodeItems(operation.bytes);
     if (!items) {
         s.log("items-unreadable", operation.batch.value);
--- a/src/node_reduce.cpp
+++ b/src/node_reduce.cpp
@@ -38,6 +38,7 @@
     startRuns(s);
     checkpointBatches(s);
     pollPages(s);
+    removeAbandonedAttempts(s);
     runWeightsLeader(s);
     logLimitedUse(s);
     updateReadiness(s);
@@ -75,18 +76,20 @@
 void onRows(step &s, operation_purpose operation, const rows_received &rows)
 {
     recordStoreAnswer(s, rows.storeNowMs);
-    std::visit(overloaded{[&](const feed_operation &feed) { onFeedRows(s, feed.table, rows); },
-                          [&](const page_operation &page) { onPageRows(s, page, rows); },
-                          [&](const item_operation &item) { onItemRows(s, item, rows); },
-                          [&](const load_operation &load) { onLoadRows(s, load.batch, rows); },
-                          [&](const batch_end_operation &end) {
-                              for (const row_change &change : rows.rows) {
-                                  onHeadRow(s, change.row);
-                              }
-                              continueBatchEnd(s, end);
-                          },
-                          [](const auto &) {}},
-               operation);
+    std::visit(
+            overloaded{[&](const feed_operation &feed) { onFeedRows(s, feed.table, rows); },
+                       [&](const page_operation &page) { onPageRows(s, page, rows); },
+                       [&](const item_operation &item) { onItemRows(s, item, rows); },
+                       [&](const load_operation &load) { onLoadRows(s, load.batch, rows); },
+                       [&](const attempt_removal_operation &removal) { onAbandonedRows(s, removal, rows); },
+                       [&](const batch_end_operation &end) {
+                           for (const row_change &change : rows.rows) {
+                               onHeadRow(s, change.row);
+                           }
+                           continueBatchEnd(s, end);
+                       },
+                       [](const auto &) {}},
+            operation);
 }
 
 void onCommitted(step &s, operation_purpose operation, const rows_committed &committed)
@@ -104,6 +107,9 @@
                        [&](const release_operation &release) {
                            dropOwnedBatch(s, release.batch, "handed over");
                        },
+                       [&](const attempt_removal_operation &removal) {
+                           onAttemptRemoved(s, removal, committed);
+                       },
                        [&](const batch_end_operation &end) {
                            batch_head head = s.state.heads[end.batch];
                            head.ended = true;
@@ -137,6 +143,9 @@
                        },
                        [&](const checkpoint_operation &checkpointed) { applyHeadRow(checkpointed.batch); },
                        [&](const lease_operation &) { onLeaseConflict(s, conflict); },
+                       [&](const attempt_removal_operation &removal) {
+                           onAttemptRemovalConflict(s, removal, conflict);
+                       },
                        [&](const release_operation &release) {
                            applyHeadRow(release.batch);
                            if (const auto found = s.state.owned.find(release.batch);
@@ -184,6 +193,9 @@
                               s.log("batch-not-loaded", load.batch.value, failed.reason);
                               s.state.loading.erase(load.batch);
                           },
+                          [&](const attempt_removal_operation &removal) {
+                              onAttemptRemovalFailed(s, removal, failed.reason);
+                          },
                           [&](const release_operation &release) {
                               if (const auto found = s.state.owned.find(release.batch);
                                   found != s.state.owned.end()) {
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cereal/types/optional.hpp>
 #include <cstring>
+#include <range/v3/numeric/accumulate.hpp>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
@@ -19,6 +20,25 @@
 /// Format of progress rows that name the build of each text.
 constexpr std::uint8_t kBuildFormat = 3;
 
+/// Format of the manifest of a batch that is stored in sections.
+constexpr std::uint8_t kManifestFormat = 4;
+
+/// Format of the row of an attempt to store a batch; head rows have another one.
+constexpr std::uint8_t kAttemptFormat = 5;
+
+/// Approximate bytes of a section before it is encoded. Bounds the memory that encoding takes.
+constexpr std::size_t kSectionBytes = 480'000;
+
+/// Bytes of an entry of a transaction beside its key and value.
+constexpr std::size_t kEntryOverheadBytes = 120;
+
+/// Bytes of an encoded item beside its texts.
+constexpr std::size_t kItemOverheadBytes = 64;
+
+/// Key of an attempt after the batch's id, before its number in 16 hexadecimal digits.
+constexpr const char *kAttemptKeyInfix = "/a";
+constexpr std::size_t kAttemptDigits = 16;
+
 /// Ends the key of a row that advertises leaving upstreams. Names of hosts contain no slash.
 constexpr const char *kLeavingKeySuffix = "/leaving-upstreams";
 
@@ -37,6 +57,46 @@
     }
 };
 
+std::vector<item_extension> extensionsOf(const std::vector<batch_item> &items)
+{
+    std::vector<item_extension> extensions;
+    std::ranges::transform(items, std::back_inserter(extensions), [](const batch_item &item) {
+        return item_extension{item.promptTokens, item.reward};
+    });
+    return extensions;
+}
+
+/// @returns false if the numbers differ.
+bool applyExtensions(std::vector<item_extension> extensions, std::vector<batch_item> &items)
+{
+    if (extensions.size() != items.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        items[i].promptTokens = extensions[i].promptTokens;
+        items[i].reward = std::move(extensions[i].reward);
+    }
+    return true;
+}
+
+/// Approximate bytes of an encoded item.
+std::size_t itemBytes(const batch_item &item)
+{
+    const std::size_t reward
+            = item.reward ? item.reward->host.size() + item.reward->path.size() + item.reward->body.size()
+                          : 0;
+    return ranges::accumulate(item.headers, kItemOverheadBytes + item.path.size() + item.body.size() + reward,
+                              [](std::size_t bytes, const auto &header) {
+                                  return bytes + header.first.size() + header.second.size();
+                              });
+}
+
+/// Bytes of a row's value as transferred: base64.
+std::size_t transferredBytes(const std::string &value)
+{
+    return (value.size() + 2) / 3 * 4;
+}
+
 /// Fields of an item_progress that format 1 lacks.
 struct progress_extension
 {
@@ -194,24 +254,136 @@
 
 std::string encodeExtensions(const std::vector<batch_item> &items)
 {
-    std::vector<item_extension> extensions;
-    std::ranges::transform(items, std::back_inserter(extensions), [](const batch_item &item) {
-        return item_extension{item.promptTokens, item.reward};
-    });
-    return pack(extensions);
+    return pack(extensionsOf(items));
 }
 
 bool applyExtensions(const std::string &bytes, std::vector<batch_item> &items)
 {
     std::vector<item_extension> extensions;
-    if (!unpack(bytes, extensions) || extensions.size() != items.size()) {
-        return false;
+    return unpack(bytes, extensions) && applyExtensions(std::move(extensions), items);
+}
+
+std::string attemptKey(const batch_id &id, store_attempt_id attempt)
+{
+    return absl::StrFormat("%s%s%016x", id.value, kAttemptKeyInfix, attempt.value);
+}
+
+bool isAttemptKey(const std::string &key)
+{
+    const std::size_t infix = key.rfind(kAttemptKeyInfix);
+    const std::size_t digits = std::strlen(kAttemptKeyInfix) + kAttemptDigits;
+    return infix != std::string::npos && key.size() - infix == digits
+           && key.find_first_not_of("0123456789abcdef", infix + std::strlen(kAttemptKeyInfix))
+                      == std::string::npos;
+}
+
+std::string encodeAttempt(const store_attempt &attempt)
+{
+    return packAs(kAttemptFormat, attempt.batch, attempt.attempt, attempt.acceptor.host,
+                  attempt.acceptor.incarnation, attempt.abandoned);
+}
+
+std::optional<store_attempt> decodeAttempt(const row &source)
+{
+    store_attempt attempt;
+    if (!unpackAs<trailing_bytes::ignore>(kAttemptFormat, source.value, attempt.batch, attempt.attempt,
+                                          attempt.acceptor.host, attempt.acceptor.incarnation,
+                                          attempt.abandoned)
+        || attemptKey(attempt.batch, attempt.attempt) != source.key.key) {
+        return std::nullopt;
     }
-    for (std::size_t i = 0; i < items.size(); ++i) {
-        items[i].promptTokens = extensions[i].promptTokens;
-        items[i].reward = std::move(extensions[i].reward);
+    attempt.rowVersion = source.version;
+    return attempt;
+}
+
+std::string sectionRowsBegin(const batch_id &id, store_attempt_id attempt)
+{
+    return attemptKey(id, attempt) + "/";
+}
+
+std::string sectionRowsEnd(const batch_id &id, store_attempt_id attempt)
+{
+    // '0' is the next byte value after '/'.
+    return attemptKey(id, attempt) + "0";
+}
+
+std::string sectionRowKey(const batch_id &id, store_attempt_id attempt, std::size_t number)
+{
+    return absl::StrFormat("%s%06d", sectionRowsBegin(id, attempt), number);
+}
+
+bool fitsOneTransaction(const commit_rows &commit)
+{
+    const std::size_t entries = commit.conditions.size() + commit.puts.size() + commit.removals.size();
+    const std::size_t bytes = ranges::accumulate(
+            commit.puts, entries * kEntryOverheadBytes, [](std::size_t sum, const row_put &put) {
+                return sum + put.key.size() + transferredBytes(put.value);
+            });
+    return entries <= kMaxTransactionEntries && bytes <= kMaxTransactionBytes;
+}
+
+std::string encodeManifest(const batch_manifest &manifest)
+{
+    return packAs(kManifestFormat, manifest.attempt, manifest.sections);
+}
+
+std::optional<batch_manifest> decodeManifest(const std::string &bytes)
+{
+    batch_manifest manifest;
+    return unpackAs<trailing_bytes::reject>(kManifestFormat, bytes, manifest.attempt, manifest.sections)
+                   ? std::optional(std::move(manifest))
+                   : std::nullopt;
+}
+
+std::size_t encodedBytes(const std::vector<batch_item> &items)
+{
+    return ranges::accumulate(items, std::size_t{0}, std::plus<>{}, &itemBytes);
+}
+
+std::size_t nextSectionSize(const std::vector<batch_item> &items, std::size_t first)
+{
+    std::size_t bytes = 0;
+    const auto begin = items.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto end = std::find_if(begin, items.end(), [&](const batch_item &item) {
+        bytes += itemBytes(item);
+        return bytes > kSectionBytes;
+    });
+    return std::max<std::size_t>(1, static_cast<std::size_t>(end - begin));
+}
+
+std::string encodeSection(const std::vector<batch_item> &items, std::size_t first, std::size_t count)
+{
+    const auto begin = items.begin() + static_cast<std::ptrdiff_t>(first);
+    const std::vector<batch_item> section(begin, begin + static_cast<std::ptrdiff_t>(count));
+    return pack(section, extensionsOf(section));
+}
+
+void readSectionRows(section_reader &reader, const std::vector<row_change> &rows)
+{
+    const std::vector<batch_section> &sections = reader.manifest.sections;
+    for (const row_change &change : rows) {
+        if (reader.damaged || reader.section >= sections.size()) {
+            return;
+        }
+        reader.bytes += change.row.value;
+        if (++reader.fragments < sections[reader.section].fragments) {
+            continue;
+        }
+        std::vector<batch_item> items;
+        std::vector<item_extension> extensions;
+        reader.damaged = !unpack(reader.bytes, items, extensions)
+                         || items.size() != sections[reader.section].items
+                         || !applyExtensions(std::move(extensions), items);
+        std::ranges::move(items, std::back_inserter(reader.items));
+        reader.bytes.clear();
+        reader.fragments = 0;
+        ++reader.section;
     }
-    return true;
+}
+
+bool isComplete(const section_reader &reader)
+{
+    return !reader.damaged && reader.section >= reader.manifest.sections.size();
 }
 
 std::string encodeProgress(const std::vector<item_progress> &items)
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -13,6 +13,10 @@
 /// Maximum size in bytes of a row's value before base64 encoding; the platform's limit is 65536 bytes.
 inline constexpr std::size_t kMaxRowBytes = 60'000;
 
+/// Maximum entries of a transaction, and bytes of its entries as transferred.
+inline constexpr std::size_t kMaxTransactionEntries = 100;
+inline constexpr std::size_t kMaxTransactionBytes = 950'000;
+
 /// Partition that holds all rows of a batch.
 std::string batchPartition(const batch_id &id);
 
@@ -43,6 +47,21 @@
 bool isProgressKey(const batch_id &id, const std::string &key);
 bool isExtensionsKey(const batch_id &id, const std::string &key);
 
+/// Key of the row of an attempt to store a batch in several transactions; it is in the table of heads.
+std::string attemptKey(const batch_id &id, store_attempt_id attempt);
+bool isAttemptKey(const std::string &key);
+std::string encodeAttempt(const store_attempt &attempt);
+/// @returns nullopt if the row is not that of an attempt.
+std::optional<store_attempt> decodeAttempt(const row &source);
+/// Key of a row with a part of the items, numbered through all sections of the attempt, and the bounds of the
+/// keys of these rows. Takeovers and requests for items of other batches do not read them.
+std::string sectionRowKey(const batch_id &id, store_attempt_id attempt, std::size_t number);
+std::string sectionRowsBegin(const batch_id &id, store_attempt_id attempt);
+std::string sectionRowsEnd(const batch_id &id, store_attempt_id attempt);
+
+/// True if the transaction can be sent as it is.
+bool fitsOneTransaction(const commit_rows &commit);
+
 /// Splits bytes into fragments of at most kMaxRowBytes; returns one empty fragment for empty input.
 std::vector<std::string> splitIntoFragments(const std::string &bytes);
 
@@ -80,6 +99,18 @@
 /// Sets prompt tokens and reward calls of the items from encoded extensions; none for batches that an older
 /// build accepted. @returns false if the bytes are malformed.
 bool applyExtensions(const std::string &bytes, std::vector<batch_item> &items);
+/// The manifest takes the place of the items (itemsKey()).
+std::string encodeManifest(const batch_manifest &manifest);
+/// @returns nullopt if the bytes are encoded items.
+std::optional<batch_manifest> decodeManifest(const std::string &bytes);
+/// @returns approximately the bytes of the encoded items.
+std::size_t encodedBytes(const std::vector<batch_item> &items);
+/// @returns the number of items from `first` on that make up the next section.
+std::size_t nextSectionSize(const std::vector<batch_item> &items, std::size_t first);
+std::string encodeSection(const std::vector<batch_item> &items, std::size_t first, std::size_t count);
+/// Adds rows of sections in ascending order of their keys.
+void readSectionRows(section_reader &reader, const std::vector<row_change> &rows);
+bool isComplete(const section_reader &reader);
 std::string encodeProgress(const std::vector<item_progress> &items);
 std::optional<std::vector<item_progress>> decodeProgress(const std::string &bytes);
 std::string encodeResult(const item_result &result);
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -18,7 +18,9 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
 
 /// Time for which idle connections to upstreams are kept: opening a connection costs more than a
 /// request, and a stale one fails with a reset before the request runs.
@@ -473,8 +475,8 @@
 
 void node_runtime::onEntryRequest(const http_request_received &request)
 {
-    std::visit(overloaded{[this](const event &incoming) { post(incoming); },
-                          [this](const reply_http &answer) { reply(answer); }},
+    std::visit(overloaded{[this](event &&incoming) { post(std::move(incoming)); },
+                          [this](reply_http &&answer) { reply(std::move(answer)); }},
                m_port->decodeRequest(request, m_state.config));
 }
 
@@ -549,7 +551,8 @@
                        if (!decoded) {
                            post(store_failed{
                                    op, answer.afterLostAnswer,
-                                   absl::StrCat("unexpected answer from the store, status ", answer.status)});
+                                   absl::StrCat("unexpected answer from the store, status ", answer.status),
+                                   answer.status == kBadRequest || answer.status == kTooLarge});
                            return;
                        }
                        post(*std::move(decoded));
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -166,6 +166,36 @@
 void onAcceptConflict(step &s, const batch_id &id, const rows_conflict &conflict);
 void onAcceptFailed(step &s, const batch_id &id, const store_failed &failure);
 void onHeadRow(step &s, const row &changed);
+/// Time to store a batch before the trainer is told to try another daemon. About a third of the 12 s that
+/// trainers wait, so that their second attempt still has time.
+inline constexpr milliseconds kAcceptTimeout{3500};
+/// @returns the head row of a batch that is about to be accepted.
+batch_head newHead(const step &s, const pending_batch &pending);
+/// Ends the acceptance of a batch and passes its callers to `answer`.
+void answerPendingExchanges(step &s, const batch_id &id, const std::function<void(exchange_id)> &answer);
+/// Refuses a batch that was not stored.
+void refusePending(step &s, const batch_id &id, refusal reason, const std::string &detail);
+/// @returns the existing row with this key; nullptr if there is none.
+const row *findRow(const std::vector<row> &rows, table_id table, const std::string &key);
+
+// Batches that exceed one transaction of the store (node_large_batches.cpp): sections of the items are
+// written first, the head row last.
+void startStoring(step &s, pending_batch &pending);
+/// True while sections are written: the batch is not accepted, whatever became of the last transaction.
+bool isStoringSections(const pending_batch &pending);
+/// The running transaction was committed at a version.
+void onSectionsStored(step &s, pending_batch &pending, std::uint64_t version);
+/// A transaction found no head row but another row of the attempt than expected.
+void onStoringConflict(step &s, pending_batch &pending, const rows_conflict &conflict);
+/// Applies the row of an attempt. @returns false if the row is another one.
+bool onAttemptRow(step &s, const row &received);
+/// Starts to remove the rows of an attempt that is over.
+void removeAbandonedAttempts(step &s);
+void onAttemptRemoved(step &s, const attempt_removal_operation &operation, const rows_committed &committed);
+void onAbandonedRows(step &s, const attempt_removal_operation &operation, const rows_received &rows);
+void onAttemptRemovalFailed(step &s, const attempt_removal_operation &operation, const std::string &reason);
+void onAttemptRemovalConflict(step &s, const attempt_removal_operation &operation,
+                              const rows_conflict &conflict);
 /// Writes the results of finished items to the store unless a transaction of the batch is running.
 void commitFinished(step &s, owned_batch &batch);
 void onResultsCommitted(step &s, const batch_id &id);
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -78,22 +78,57 @@
     const batch_id &id = loading.head.spec.id;
     const op_id op = s.open(load_operation{id});
     loading.op = op;
-    if (loading.readingResults) {
-        s.emit(read_rows{op, table_id::results, batchPartition(id),
-                         loading.nextFrom.empty() ? resultKey(id, 0, 0) : loading.nextFrom,
-                         batchKeysEnd(id)});
-        return;
+    const auto read = [&](table_id table, const std::string &first, const std::string &end) {
+        s.emit(read_rows{op, table, batchPartition(id), loading.nextFrom.empty() ? first : loading.nextFrom,
+                         end});
+    };
+    switch (loading.stage) {
+    case load_stage::rows:
+        read(table_id::items, extensionsKeyPrefix(id), batchKeysEnd(id));
+        break;
+    case load_stage::sections: {
+        const store_attempt_id attempt = loading.sections->manifest.attempt;
+        read(table_id::items, sectionRowsBegin(id, attempt), sectionRowsEnd(id, attempt));
+        break;
+    }
+    case load_stage::results:
+        read(table_id::results, resultKey(id, 0, 0), batchKeysEnd(id));
+        break;
     }
-    s.emit(read_rows{op, table_id::items, batchPartition(id),
-                     loading.nextFrom.empty() ? extensionsKeyPrefix(id) : loading.nextFrom,
-                     batchKeysEnd(id)});
+}
+
+/// Moves on once a stage is read completely. @returns false after the last stage.
+bool startNextStage(loading_batch &loading)
+{
+    if (loading.stage == load_stage::results) {
+        return false;
+    }
+    loading.nextFrom.clear();
+    if (loading.stage == load_stage::rows) {
+        if (auto manifest = decodeManifest(loading.itemBytes)) {
+            loading.sections = section_reader{*std::move(manifest)};
+            loading.stage = load_stage::sections;
+            return true;
+        }
+    }
+    loading.stage = load_stage::results;
+    return true;
+}
+
+/// @returns nullopt if the items cannot be decoded.
+std::optional<std::vector<batch_item>> takeItems(loading_batch &loading)
+{
+    if (!loading.sections) {
+        return decodeItems(loading.itemBytes);
+    }
+    return isComplete(*loading.sections) ? std::optional(std::move(loading.sections->items)) : std::nullopt;
 }
 
 void finishLoading(step &s, const batch_id &id)
 {
     const auto extracted = s.state.loading.extract(id);
     loading_batch &loading = extracted.mapped();
-    auto items = decodeItems(loading.itemBytes);
+    auto items = takeItems(loading);
     if (!items) {
         s.log("items-unreadable", id.value, "cannot decode the items; the batch is not run");
         return;
@@ -227,8 +262,11 @@
         return;
     }
     loading_batch &loading = found->second;
+    if (loading.stage == load_stage::sections) {
+        readSectionRows(*loading.sections, rows.rows);
+    }
     for (const row_change &change : rows.rows) {
-        if (loading.readingResults) {
+        if (loading.stage != load_stage::rows) {
             break;
         }
         if (isExtensionsKey(id, change.row.key.key)) {
@@ -239,7 +277,7 @@
             loading.itemBytes += change.row.value;
         }
     }
-    if (loading.readingResults) {
+    if (loading.stage == load_stage::results) {
         result_assembler assembler;
         for (const row_change &change : rows.rows) {
             assembler.add(change.row);
@@ -249,14 +287,12 @@
     }
     if (rows.truncated && !rows.rows.empty()) {
         // A result that continues on the next page is read again from its first fragment.
-        loading.nextFrom = loading.readingResults ? resultKey(id, loading.results.size(), 0)
-                                                  : rows.rows.back().row.key.key + '\1';
+        loading.nextFrom = loading.stage == load_stage::results ? resultKey(id, loading.results.size(), 0)
+                                                                : rows.rows.back().row.key.key + '\1';
         continueLoading(s, loading);
         return;
     }
-    loading.nextFrom.clear();
-    if (!loading.readingResults) {
-        loading.readingResults = true;
+    if (startNextStage(loading)) {
         continueLoading(s, loading);
         return;
     }
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -16,6 +16,31 @@
 constexpr milliseconds kRetryDelay{60};
 constexpr milliseconds kPeerLatency{2};
 
+// Limits of the table, as the platform's page gives them. Sizes are those of values in base64.
+constexpr std::size_t kMaxEntries = 100;
+constexpr std::size_t kMaxTransferBytes = 1'000'000;
+constexpr std::size_t kMaxValueBytes = 65'536;
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::size_t kMaxRowsRead = 500;
+
+std::size_t transferredBytes(const std::string &value)
+{
+    return (value.size() + 2) / 3 * 4;
+}
+
+/// True if the table takes a transaction of this size.
+bool isWithinLimits(const commit_rows &transaction)
+{
+    const std::size_t entries
+            = transaction.conditions.size() + transaction.puts.size() + transaction.removals.size();
+    std::size_t bytes = 0;
+    const bool rowsFit = std::ranges::all_of(transaction.puts, [&](const row_put &written) {
+        bytes += written.key.size() + transferredBytes(written.value);
+        return written.value.size() <= kMaxValueBytes && written.key.size() <= kMaxKeyBytes;
+    });
+    return rowsFit && entries <= kMaxEntries && bytes <= kMaxTransferBytes;
+}
+
 std::vector<run_chunk> eventsOf(const std::string &bytes)
 {
     std::vector<run_chunk> events;
@@ -438,11 +463,18 @@
                               m_version,
                               static_cast<std::uint64_t>(m_now.time_since_epoch().count()),
                               false};
+        std::size_t bytes = 0;
         for (const auto &[key, stored] : m_rows) {
-            if (key.table == request.table && key.partition == request.partition && key.key >= request.from
-                && (request.to.empty() || key.key < request.to)) {
-                arrived.rows.push_back(changeOf(key));
+            if (key.table != request.table || key.partition != request.partition || key.key < request.from
+                || (!request.to.empty() && key.key >= request.to)) {
+                continue;
+            }
+            bytes += transferredBytes(stored.value);
+            arrived.truncated = arrived.rows.size() == kMaxRowsRead || bytes > kMaxTransferBytes;
+            if (arrived.truncated) {
+                break;
             }
+            arrived.rows.push_back(changeOf(key));
         }
         deliver(daemon, generation, std::move(arrived));
     });
@@ -511,6 +543,11 @@
     for (const row_put &written : transaction.puts) {
         put({written.table, transaction.partition, written.key}, written.value);
     }
+    for (const row_removal &removed : transaction.removals) {
+        const row_key key{removed.table, transaction.partition, removed.key};
+        m_rows.erase(key);
+        m_changes.emplace_back(m_version, key);
+    }
     return true;
 }
 
@@ -530,6 +567,10 @@
                 schedule(again, [=, this] { commit(daemon, transaction, deadline, lost); });
             }
         };
+        if (!isWithinLimits(transaction)) {
+            deliver(daemon, generation, store_failed{transaction.op, false, "status 400", true});
+            return;
+        }
         const bool rejected = std::ranges::any_of(transaction.puts, [&](const row_put &written) {
             return m_rejectedTables.contains(written.table);
         });
@@ -663,6 +704,22 @@
     return submitted;
 }
 
+batch node_simulation::withBodies(batch submitted, std::size_t bytes)
+{
+    for (batch_item &item : submitted.items) {
+        // The number of chunks stays at the beginning.
+        item.body.resize(std::max(bytes, item.body.size()), ' ');
+    }
+    return submitted;
+}
+
+std::size_t node_simulation::rowCount(table_id table, const std::string &keyPrefix) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_rows, [&](const auto &entry) {
+        return entry.first.table == table && entry.first.key.starts_with(keyPrefix);
+    }));
+}
+
 exchange_id node_simulation::submitBatch(std::size_t daemon, const batch &submitted)
 {
     for (const batch_item &item : submitted.items) {
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -199,6 +199,8 @@
     /// Returns a batch whose items produce the given numbers of chunks.
     static node::batch makeBatch(const std::string &id, const std::string &model, std::uint64_t minVersion,
                                  const std::vector<unsigned> &chunkCounts);
+    /// Extends the body of each item to this many bytes.
+    static node::batch withBodies(node::batch submitted, std::size_t bytes);
 
     /// Upstreams with even and odd indices run different software versions, "1a" and "2b".
     void runTwoVersions();
@@ -212,6 +214,8 @@
     bool isUp(std::size_t daemon) const { return m_daemons.at(daemon).up; }
     std::size_t daemonCount() const { return m_daemons.size(); }
     instant now() const { return m_now; }
+    /// Number of rows of a table whose keys begin so.
+    std::size_t rowCount(node::table_id table, const std::string &keyPrefix) const;
     /// Complete committed results of a batch in the table.
     std::vector<node::item_result> committedResults(const node::batch_id &id) const;
     bool allCommitted(const node::batch &submitted) const
--- /dev/null
+++ b/tests/test_node_large_batches.cpp
@@ -0,0 +1,235 @@
+// Batches that exceed one transaction of the store: acceptance in sections, faults halfway, takeover, reads
+// and removal of what is left over.
+#include "node_rows.h"
+#include "node_simulation.h"
+
+#include <gtest/gtest.h>
+
+namespace jacinthvale {
+
+using namespace node;
+using test::node_simulation;
+
+namespace {
+
+constexpr milliseconds kStartupTime{1500};
+constexpr milliseconds kAcceptTime{9500};
+constexpr milliseconds kLongTimeout{60'000};
+/// Longer than an attempt to store a batch can take, and the removal of its rows.
+constexpr milliseconds kRemovalTime{25'000};
+
+/// 192 items with bodies of 6 KB, which the store takes in three transactions at least.
+batch largeBatch(const std::string &id = "b1", std::size_t items = 192, std::size_t bodyBytes = 6000)
+{
+    return node_simulation::withBodies(
+            node_simulation::makeBatch(id, "m0", 1, std::vector<unsigned>(items, 3)), bodyBytes);
+}
+
+bool isAccepted(node_simulation &simulation, exchange_id submission)
+{
+    return simulation.runUntil([&] { return simulation.answerAs<accept_batch>(submission) != nullptr; },
+                               kAcceptTime);
+}
+
+/// Number of rows with items that attempts to store the batch wrote.
+std::size_t sectionRows(const node_simulation &simulation, const batch &submitted)
+{
+    return simulation.rowCount(table_id::items, submitted.id.value + "/a");
+}
+
+std::size_t attemptRows(const node_simulation &simulation, const batch &submitted)
+{
+    return simulation.rowCount(table_id::heads, submitted.id.value + "/a");
+}
+
+/// Checks the bodies of the first, a middle and the last item, as told by each daemon.
+void expectBodies(node_simulation &simulation, const batch &submitted)
+{
+    for (std::size_t daemon = 0; daemon < simulation.daemonCount(); ++daemon) {
+        for (const std::size_t index :
+             {std::size_t{0}, submitted.items.size() / 2, submitted.items.size() - 1}) {
+            const batch_item &item = submitted.items[index];
+            const exchange_id request = simulation.requestItem(daemon, submitted.id, item.id);
+            simulation.run(milliseconds{200});
+            ASSERT_NE(simulation.answerAs<answer_item>(request), nullptr) << daemon << " " << index;
+            EXPECT_EQ(simulation.answerAs<answer_item>(request)->body, item.body);
+        }
+    }
+}
+
+} // namespace
+
+TEST(node_large_batches, batchOverOneTransactionIsAcceptedAndRunsToTheEnd)
+{
+    node_simulation simulation(201);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch();
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    EXPECT_EQ(attemptRows(simulation, submitted), 0U);
+    expectBodies(simulation, submitted);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    const exchange_id unknown = simulation.requestItem(1, submitted.id, {"another"});
+    simulation.run(milliseconds{200});
+    ASSERT_NE(simulation.answerAs<refuse_call>(unknown), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(unknown)->reason, refusal::not_found);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, itemsLargerThanATransactionAreStored)
+{
+    node_simulation simulation(202);
+    simulation.run(kStartupTime);
+    batch submitted = node_simulation::withRewards(largeBatch("b1", 3, 2'500'000));
+    submitted.items[1].promptTokens = 17;
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    expectBodies(simulation, submitted);
+    simulation.kill(simulation.ownerIndex(submitted.id));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, batchOfOneTransactionHasTheRowsOfOlderBuilds)
+{
+    node_simulation simulation(203);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch("b1", 100, 6000);
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    EXPECT_EQ(sectionRows(simulation, submitted), 0U);
+    EXPECT_EQ(simulation.rowCount(table_id::items, itemsKeyPrefix(submitted.id)), 11U);
+}
+
+TEST(node_large_batches, batchOfAKilledAcceptorIsAcceptedElsewhereAndItsRowsAreRemoved)
+{
+    for (const std::int64_t killedAfterMs : {1, 7, 14, 20, 26}) {
+        node_simulation simulation(204 + static_cast<std::uint64_t>(killedAfterMs), 4);
+        simulation.run(kStartupTime);
+        const batch submitted = largeBatch();
+        const exchange_id first = simulation.submitBatch(0, submitted);
+        simulation.run(milliseconds{killedAfterMs});
+        simulation.kill(0);
+        const bool stored = simulation.answerAs<accept_batch>(first) != nullptr;
+        ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(1, submitted))) << killedAfterMs;
+        simulation.start(0);
+        expectBodies(simulation, submitted);
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+        simulation.run(kRemovalTime);
+        EXPECT_EQ(attemptRows(simulation, submitted), 0U) << killedAfterMs << (stored ? " stored" : "");
+        EXPECT_LE(sectionRows(simulation, submitted), 21U) << killedAfterMs;
+        expectBodies(simulation, submitted);
+        EXPECT_EQ(simulation.violationText(), "");
+    }
+}
+
+TEST(node_large_batches, rowsOfABatchThatNobodyAcceptedAreRemoved)
+{
+    node_simulation simulation(231);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch("b1", 20, 600'000);
+    simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{60});
+    simulation.kill(0);
+    EXPECT_GT(sectionRows(simulation, submitted), 0U);
+    simulation.run(kRemovalTime);
+    EXPECT_EQ(sectionRows(simulation, submitted), 0U);
+    EXPECT_EQ(attemptRows(simulation, submitted), 0U);
+    EXPECT_EQ(simulation.runsStarted(), 0U);
+}
+
+TEST(node_large_batches, acceptorThatIsSuspendedMidwayChangesNothing)
+{
+    node_simulation simulation(232);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch();
+    const exchange_id first = simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{14});
+    simulation.freeze(0, milliseconds{30'000});
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(1, submitted)));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    simulation.run(kRemovalTime + milliseconds{30'000});
+    EXPECT_NE(simulation.answerAs<accept_batch>(first), nullptr);
+    EXPECT_EQ(attemptRows(simulation, submitted), 0U);
+    expectBodies(simulation, submitted);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, suspendedAcceptorOfABatchThatNobodyElseAcceptedRefuses)
+{
+    node_simulation simulation(233);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch();
+    const exchange_id first = simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{14});
+    simulation.freeze(0, milliseconds{40'000});
+    simulation.run(milliseconds{50'000});
+    ASSERT_NE(simulation.answerAs<refuse_call>(first), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(first)->reason, refusal::not_run);
+    EXPECT_EQ(sectionRows(simulation, submitted), 0U);
+    EXPECT_EQ(attemptRows(simulation, submitted), 0U);
+    EXPECT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+}
+
+TEST(node_large_batches, batchSubmittedToTwoDaemonsIsAcceptedOnce)
+{
+    node_simulation simulation(234);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch();
+    const exchange_id first = simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{10});
+    const exchange_id second = simulation.submitBatch(1, submitted);
+    EXPECT_TRUE(isAccepted(simulation, first));
+    EXPECT_TRUE(isAccepted(simulation, second));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    simulation.run(kRemovalTime);
+    EXPECT_EQ(attemptRows(simulation, submitted), 0U);
+    EXPECT_EQ(simulation.runsStarted(), submitted.items.size());
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, lostAnswersAndLateWritesNeitherMixNorLoseItems)
+{
+    for (std::uint64_t seed = 240; seed < 252; ++seed) {
+        node_simulation simulation(seed, 4);
+        simulation.run(kStartupTime);
+        simulation.setLostAnswerShare(0.25);
+        simulation.setLateWriteShare(0.2);
+        const batch submitted = largeBatch();
+        bool accepted = false;
+        for (std::size_t attempt = 0; attempt < 6 && !accepted; ++attempt) {
+            accepted = isAccepted(simulation, simulation.submitBatch(attempt % 4, submitted));
+        }
+        ASSERT_TRUE(accepted) << seed;
+        simulation.setLostAnswerShare(0);
+        simulation.setLateWriteShare(0);
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout))
+                << seed;
+        expectBodies(simulation, submitted);
+        EXPECT_EQ(simulation.runsStarted(), submitted.items.size()) << seed;
+        EXPECT_EQ(simulation.violationText(), "") << seed;
+    }
+}
+
+TEST(node_large_batches, batchOfAKilledOwnerIsTakenOver)
+{
+    node_simulation simulation(260);
+    simulation.run(kStartupTime);
+    const batch submitted = largeBatch();
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.committedResults(submitted.id).size() > 20; },
+                                    kLongTimeout));
+    simulation.kill(simulation.ownerIndex(submitted.id));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, batchThatTheStoreNeverTakesIsRefusedForGood)
+{
+    node_simulation simulation(261);
+    simulation.run(kStartupTime);
+    const batch submitted = node_simulation::makeBatch(std::string(250, 'b'), "m0", 1, {3});
+    const exchange_id submission = simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{500});
+    ASSERT_NE(simulation.answerAs<refuse_call>(submission), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(submission)->reason, refusal::not_storable);
+}
+
+} // namespace jacinthvale
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -161,6 +161,22 @@
     EXPECT_FALSE(platform::encodeRunCall(run).headers.contains("Last-Event-Id"));
 }
 
+TEST(platform_wire, transactionNamesTheRowsThatItRemoves)
+{
+    const commit_rows commit{
+            {1}, "b3", {}, {}, milliseconds{4000}, {{table_id::heads, "one"}, {table_id::items, "two"}}};
+    const auto body = nlohmann::json::parse(platform::encodeStoreCall(commit).body);
+    EXPECT_EQ(body["remove"], nlohmann::json::parse(R"([{"table":"heads","part":"b3","key":"one"},
+                                                        {"table":"items","part":"b3","key":"two"}])"));
+}
+
+TEST(platform_wire, batchThatCannotBeStoredIsTooLargeAndDoesNotComeBack)
+{
+    const auto reply = platform::makePlatformPort()->encodeReply(refuse_call{{1}, refusal::not_storable, {}});
+    EXPECT_EQ(reply.status, 413);
+    EXPECT_FALSE(reply.headers.contains("Retry-After"));
+}
+
 TEST(platform_wire, reportsMissingRequiredSettingWithItsPath)
 {
     const auto settings = readNodeSettings(R"({"host":"h"})");
