A result larger than a transaction or a read is listed, read and taken over

Cause: a text over about 700 KB was written with all its rows in one transaction. The store refuses that with status 400 for ever, and the owner sent it again at once each time: none of the batch's later results was listed. A result over what the store returns in one read (1 MB) never came back whole: readers got empty pages, and a takeover read the same rows again without end.

Ruled out: dropping trailing bytes when a result is decoded (test_node_rewards demands that they are rejected); rows keyed by epoch (readers would need another read for each such result).

Change: the rows after row 0 are written first, 10 a transaction; row 0 tells their number and commits the result. Rows that an earlier owner left behind it are beyond that number. Readers and takeovers keep the rows of an unfinished result across reads (result_assembler::takeComplete). Results that fit one transaction are written as before.

Measured: resultsLargerThanATransactionAreListedAndTakenOver and ownerMayDieWhileALongResultIsStored pass; the first fails without each of the three changes (write, page, takeover), the second without the write.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -173,6 +173,10 @@
     std::deque<std::size_t> finished;
     /// Items whose results the running transaction writes, in order of position.
     std::vector<std::size_t> committing;
+    /// Fragments of a result that exceeds one transaction: those that are stored, and those that the running
+    /// transaction writes; 0 while it commits the result.
+    std::size_t storedFragments = 0;
+    std::size_t sentFragments = 0;
     /// The running transaction; 0 if none.
     op_id commitOp;
     std::vector<waiting_reader> readers;
@@ -275,6 +279,29 @@
     instant nextAt{};
 };
 
+/// Reassembles committed results from their fragments. The first row added must be the first fragment of a
+/// result.
+class result_assembler
+{
+public:
+    /// Adds a fragment. Rows of other kinds are ignored.
+    void add(const row &fragment);
+    /// Removes the results in order of position, up to the first one that is incomplete or damaged; further
+    /// fragments may complete it. @returns these results.
+    std::vector<item_result> takeComplete();
+
+private:
+    struct partial_result
+    {
+        /// Number of the next fragment; 0 until the first one has arrived.
+        std::size_t next = 0;
+        /// Number of fragments after the first one, where that one holds no more than this number.
+        std::optional<std::size_t> longFragments = {};
+        std::string bytes = {};
+    };
+    std::map<std::size_t, partial_result> m_partials;
+};
+
 /// What a takeover reads next.
 enum class load_stage : std::uint8_t { rows, sections, results };
 
@@ -286,6 +313,8 @@
     std::string itemBytes;
     std::string progressBytes;
     std::vector<item_result> results;
+    /// Holds the rows of a result that continues on the next page.
+    result_assembler assembler;
     std::string nextFrom;
     load_stage stage = load_stage::rows;
     /// Set if the items are stored in sections.
@@ -502,6 +531,8 @@
     /// Start of the read in progress, and the number of results that it covers.
     instant readAt{};
     std::size_t resultLimit = 0;
+    /// Holds the rows of a result that the store did not return at once.
+    result_assembler assembler = {};
 };
 
 /// Pace of page reads from the store, from which the number of results of a page follows: a reader gives up
--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -360,6 +360,40 @@
     }
 }
 
+namespace {
+
+/// Fragments of a long result in one transaction: about 800 KB as transferred.
+constexpr std::size_t kLongResultFragmentsPerCommit = 10;
+
+/// Leaves only the first of the results that are about to be committed.
+void commitAlone(owned_batch &batch)
+{
+    batch.finished.insert(batch.finished.begin(), batch.committing.begin() + 1, batch.committing.end());
+    batch.committing.resize(1);
+}
+
+/// @returns the next rows of a result that exceeds one transaction. Fragment 0 commits it: it follows the
+/// others.
+std::vector<row_put> nextLongResultPuts(owned_batch &batch)
+{
+    const batch_id &id = batch.spec.id;
+    const std::size_t position = batch.committedResults.size();
+    const std::vector<std::string> fragments
+            = splitIntoFragments(encodeResult(resultOf(batch.items[batch.committing.front()])));
+    batch.sentFragments = std::min(kLongResultFragmentsPerCommit, fragments.size() - batch.storedFragments);
+    std::vector<row_put> puts;
+    for (std::size_t i = 0; i < batch.sentFragments; ++i) {
+        const std::size_t number = batch.storedFragments + i;
+        puts.push_back({table_id::results, resultKey(id, position, number + 1), fragments[number]});
+    }
+    if (puts.empty()) {
+        puts.push_back({table_id::results, resultKey(id, position, 0), encodeLongResult(fragments.size())});
+    }
+    return puts;
+}
+
+} // namespace
+
 void commitFinished(step &s, owned_batch &batch)
 {
     if (batch.commitOp.value != 0 || batch.handingOver) {
@@ -388,8 +422,7 @@
     }
     const batch_id &id = batch.spec.id;
     const std::size_t position = batch.committedResults.size();
-    batch.commitOp = s.open(commit_operation{id});
-    commit_rows commit{batch.commitOp,
+    commit_rows commit{{},
                        batchPartition(id),
                        {{table_id::heads, id.value, batch.headVersion},
                         {table_id::results, resultKey(id, position, 0), 0}},
@@ -402,6 +435,12 @@
             commit.puts.push_back({table_id::results, resultKey(id, position + i, f), fragments[f]});
         }
     }
+    if (!fitsOneTransaction(commit)) {
+        commitAlone(batch);
+        commit.puts = nextLongResultPuts(batch);
+    }
+    batch.commitOp = s.open(commit_operation{id});
+    commit.op = batch.commitOp;
     s.emit(std::move(commit));
 }
 
@@ -413,6 +452,12 @@
     }
     owned_batch &batch = found->second;
     batch.commitOp = {};
+    if (batch.sentFragments > 0) {
+        batch.storedFragments += std::exchange(batch.sentFragments, 0);
+        commitFinished(s, batch);
+        return;
+    }
+    batch.storedFragments = 0;
     for (const std::size_t index : batch.committing) {
         owned_item &item = batch.items[index];
         item.phase = item_phase::committed;
@@ -435,6 +480,7 @@
     }
     owned_batch &batch = found->second;
     batch.commitOp = {};
+    batch.sentFragments = 0;
     const row *head = findRow(conflict.rows, table_id::heads, id.value);
     const bool committed
             = findRow(conflict.rows, table_id::results, resultKey(id, batch.committedResults.size(), 0))
@@ -464,6 +510,7 @@
     }
     // Commits the same results at the same positions again: the unanswered transaction may still be applied.
     found->second.commitOp = {};
+    found->second.sentFragments = 0;
     s.log("results-not-listed", id.value,
           std::to_string(found->second.committing.size())
                   + " results not confirmed by the store; committing them again");
--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -105,6 +105,7 @@
     }
     page.readAt = s.ctx.now;
     page.resultLimit = resultLimitOf(s.state.pagePace);
+    page.assembler = {};
     s.emit(read_rows{page.op, table_id::results, batchPartition(page.batch),
                      resultKey(page.batch, page.after, 0),
                      resultKey(page.batch, page.after + page.resultLimit, 0)});
@@ -165,13 +166,20 @@
         requestPageRows(s, page, false);
         return;
     }
-    result_assembler assembler;
     std::size_t bytes = 0;
     for (const row_change &change : rows.rows) {
-        assembler.add(change.row);
+        page.assembler.add(change.row);
         bytes += change.row.value.size();
     }
-    std::vector<item_result> results = assembler.finish();
+    std::vector<item_result> results = page.assembler.takeComplete();
+    if (results.empty() && rows.truncated && !rows.rows.empty()) {
+        // The first result is larger than what the store returns at once.
+        page.running = true;
+        page.op = s.open(page_operation{page.exchange});
+        s.emit(read_rows{page.op, table_id::results, batchPartition(page.batch),
+                         rows.rows.back().row.key.key + '\1', resultKey(page.batch, page.after + 1, 0)});
+        return;
+    }
     recordPageRead(s, page, results.size(), bytes);
     const std::size_t total = s.state.heads.at(page.batch).total;
     if (results.empty() && page.after < total && page.until > s.ctx.now) {
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -29,6 +29,9 @@
 /// Approximate bytes of a section before it is encoded. Bounds the memory that encoding takes.
 constexpr std::size_t kSectionBytes = 480'000;
 
+/// Format of fragment 0 of a result that exceeds one transaction.
+constexpr std::uint8_t kLongResultFormat = 6;
+
 /// Bytes of an entry of a transaction beside its key and value.
 constexpr std::size_t kEntryOverheadBytes = 120;
 
@@ -185,16 +188,17 @@
     return id.value + "0";
 }
 
-std::optional<std::size_t> resultPosition(const std::string &key)
+std::optional<result_fragment> resultFragment(const std::string &key)
 {
     const auto slash = key.rfind('/');
     const auto dot = key.rfind('.');
-    std::uint64_t position = 0;
+    result_fragment fragment;
     if (slash == std::string::npos || dot == std::string::npos || dot < slash
-        || !absl::SimpleAtoi(key.substr(slash + 1, dot - slash - 1), &position)) {
+        || !absl::SimpleAtoi(key.substr(slash + 1, dot - slash - 1), &fragment.position)
+        || !absl::SimpleAtoi(key.substr(dot + 1), &fragment.number)) {
         return std::nullopt;
     }
-    return position;
+    return fragment;
 }
 
 bool isProgressKey(const batch_id &id, const std::string &key)
@@ -536,23 +540,55 @@
                    : std::nullopt;
 }
 
+std::string encodeLongResult(std::size_t fragments)
+{
+    return packAs(kLongResultFormat, static_cast<std::uint64_t>(fragments));
+}
+
+std::optional<std::size_t> decodeLongResult(const std::string &value)
+{
+    std::uint64_t fragments = 0;
+    return unpackAs<trailing_bytes::reject>(kLongResultFormat, value, fragments)
+                   ? std::optional<std::size_t>(fragments)
+                   : std::nullopt;
+}
+
 void result_assembler::add(const row &fragment)
 {
-    if (const auto position = resultPosition(fragment.key.key)) {
-        m_bytes[*position] += fragment.value;
+    const auto place = resultFragment(fragment.key.key);
+    if (!place) {
+        return;
+    }
+    partial_result &partial = m_partials[place->position];
+    if (place->number == 0) {
+        partial.longFragments = decodeLongResult(fragment.value);
+        partial.bytes = partial.longFragments ? std::string() : fragment.value;
+        partial.next = 1;
+        return;
+    }
+    // Fragments without the first one belong to a result that is not committed.
+    const bool expected = partial.next == place->number
+                          && (!partial.longFragments || place->number <= *partial.longFragments);
+    if (expected) {
+        partial.bytes += fragment.value;
+        ++partial.next;
     }
 }
 
-std::vector<item_result> result_assembler::finish()
+std::vector<item_result> result_assembler::takeComplete()
 {
     std::vector<item_result> results;
-    for (const auto &[position, bytes] : m_bytes) {
-        auto result = decodeResult(bytes);
+    while (!m_partials.empty()) {
+        const partial_result &partial = m_partials.begin()->second;
+        const bool missing
+                = partial.next == 0 || (partial.longFragments && partial.next != *partial.longFragments + 1);
+        auto result = missing ? std::nullopt : decodeResult(partial.bytes);
         if (!result) {
             // Fragments of this result are missing or damaged; the results before it are complete.
             break;
         }
         results.push_back(*std::move(result));
+        m_partials.erase(m_partials.begin());
     }
     return results;
 }
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -42,8 +42,14 @@
 std::string extensionsKeyPrefix(const batch_id &id);
 std::string itemsKeyPrefix(const batch_id &id);
 std::string progressKeyPrefix(const batch_id &id);
-/// Returns the result's position in its batch, or nullopt if the key is not a result key.
-std::optional<std::size_t> resultPosition(const std::string &key);
+/// Position of a result in its batch, and number of the fragment.
+struct result_fragment
+{
+    std::size_t position = 0;
+    std::size_t number = 0;
+};
+/// Returns nullopt if the key is not a result key.
+std::optional<result_fragment> resultFragment(const std::string &key);
 bool isProgressKey(const batch_id &id, const std::string &key);
 bool isExtensionsKey(const batch_id &id, const std::string &key);
 
@@ -115,6 +121,11 @@
 std::optional<std::vector<item_progress>> decodeProgress(const std::string &bytes);
 std::string encodeResult(const item_result &result);
 std::optional<item_result> decodeResult(const std::string &bytes);
+/// Encodes fragment 0 of a result that exceeds one transaction. The fragments after it hold the result; they
+/// are written first, and those of an earlier owner may follow them.
+std::string encodeLongResult(std::size_t fragments);
+/// @returns the number of fragments that follow; nullopt if the result itself begins here.
+std::optional<std::size_t> decodeLongResult(const std::string &value);
 std::string encodeMember(const member &daemon);
 std::optional<member> decodeMember(const row &source);
 
@@ -153,18 +164,4 @@
 std::string encodeLease(const lease_row &lease);
 std::optional<lease_row> decodeLease(const row &source);
 
-/// Reassembles committed results from their fragments. The first row added must be the first fragment of a
-/// result.
-class result_assembler
-{
-public:
-    /// Adds a fragment. Rows of other kinds are ignored.
-    void add(const row &fragment);
-    /// Returns the results in order of position, up to the first one that is incomplete or damaged.
-    std::vector<item_result> finish();
-
-private:
-    std::map<std::size_t, std::string> m_bytes;
-};
-
 } // namespace jacinthvale::node
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -278,17 +278,14 @@
         }
     }
     if (loading.stage == load_stage::results) {
-        result_assembler assembler;
         for (const row_change &change : rows.rows) {
-            assembler.add(change.row);
+            loading.assembler.add(change.row);
         }
-        std::vector<item_result> results = assembler.finish();
+        std::vector<item_result> results = loading.assembler.takeComplete();
         std::ranges::move(results, std::back_inserter(loading.results));
     }
     if (rows.truncated && !rows.rows.empty()) {
-        // A result that continues on the next page is read again from its first fragment.
-        loading.nextFrom = loading.stage == load_stage::results ? resultKey(id, loading.results.size(), 0)
-                                                                : rows.rows.back().row.key.key + '\1';
+        loading.nextFrom = rows.rows.back().row.key.key + '\1';
         continueLoading(s, loading);
         return;
     }
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -617,15 +617,20 @@
         if (written.table != table_id::results) {
             continue;
         }
-        if (m_rows.contains({written.table, transaction.partition, written.key})) {
+        const std::string batch = written.key.substr(0, written.key.find('/'));
+        const result_fragment fragment = *resultFragment(written.key);
+        if (m_rows.contains(
+                    {written.table, transaction.partition, resultKey({batch}, fragment.position, 0)})) {
             addViolation("committed result is written again: " + written.key);
         }
-        const auto result = decodeResult(written.value);
+        if (fragment.number > 0) {
+            continue;
+        }
+        const auto result = resultWrittenAt(transaction, {batch}, fragment.position);
         if (!result) {
             addViolation("result cannot be decoded: " + written.key);
             continue;
         }
-        const std::string batch = written.key.substr(0, written.key.find('/'));
         for (const item_result &before : committedResults({batch})) {
             if (before.id == result->id) {
                 addViolation("item " + result->id.value + " is committed at two positions");
@@ -644,6 +649,29 @@
     }
 }
 
+std::optional<item_result> node_simulation::resultWrittenAt(const commit_rows &transaction,
+                                                            const batch_id &id, std::size_t position) const
+{
+    const row_key end{table_id::results, transaction.partition, resultKey(id, position + 1, 0)};
+    std::map<std::string, std::string> rows;
+    for (auto stored = m_rows.lower_bound({end.table, end.partition, resultKey(id, position, 0)});
+         stored != m_rows.end() && stored->first < end; ++stored) {
+        rows[stored->first.key] = stored->second.value;
+    }
+    for (const row_put &written : transaction.puts) {
+        const auto fragment = resultFragment(written.key);
+        if (written.table == table_id::results && fragment && fragment->position == position) {
+            rows[written.key] = written.value;
+        }
+    }
+    result_assembler assembler;
+    for (const auto &[key, value] : rows) {
+        assembler.add({{table_id::results, {}, key}, 0, value, false});
+    }
+    const std::vector<item_result> results = assembler.takeComplete();
+    return results.empty() ? std::nullopt : std::optional(results.front());
+}
+
 std::vector<item_result> node_simulation::committedResults(const batch_id &id) const
 {
     result_assembler assembler;
@@ -652,7 +680,7 @@
             assembler.add({key, stored.version, stored.value, false});
         }
     }
-    return assembler.finish();
+    return assembler.takeComplete();
 }
 
 void node_simulation::setNamedVersion(const std::string &model, std::uint64_t version)
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -158,6 +158,8 @@
     void setStoreDown(bool down) { m_storeDown = down; }
     /// Rejects writes to one table while reads of all tables succeed.
     void setWritesRejected(node::table_id table, bool rejected);
+    /// Extends the text of each chunk of an item to this many bytes.
+    void setChunkBytes(std::size_t bytes) { m_chunkBytes = bytes; }
     /// Share of applied transactions whose answer is lost.
     void setLostAnswerShare(double share) { m_lostAnswerShare = share; }
     /// Time until a daemon sends a transaction without an answer again, as its timeout for writes does.
@@ -300,6 +302,12 @@
     void writeUpstreamRow(const simulated_upstream &upstream);
     void writeUpstreamHeartbeats();
     void checkResults(const node::commit_rows &transaction);
+    /// @returns the result at a position as it is after the transaction.
+    std::optional<node::item_result> resultWrittenAt(const node::commit_rows &transaction,
+                                                     const node::batch_id &id, std::size_t position) const;
+    /// Text of a chunk, extended to the set size.
+    std::string paddedChunk(const node::item_id &id, std::uint64_t number,
+                            const std::string &softwareVersion) const;
     void addViolation(const std::string &text) { m_violations.push_back(text); }
     bool storeAnswers(std::size_t daemon) const
     {
@@ -361,6 +369,7 @@
     std::map<exchange_id, std::pair<std::size_t, node::op_id>> m_deltaRequests;
     double m_storeReads = 0;
     std::size_t m_readCount = 0;
+    std::size_t m_chunkBytes = 0;
     std::size_t m_runsStarted = 0;
     std::size_t m_claimCount = 0;
     std::size_t m_ordersSent = 0;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -37,6 +37,14 @@
     return softwareVersion.empty() ? text : text + "@" + softwareVersion;
 }
 
+std::string node_simulation::paddedChunk(const item_id &id, std::uint64_t number,
+                                         const std::string &softwareVersion) const
+{
+    std::string text = chunkText(id, number, softwareVersion);
+    text.resize(std::max(text.size(), m_chunkBytes), '.');
+    return text;
+}
+
 void node_simulation::checkText(const item_result &result)
 {
     const auto version = result.text.find('@');
@@ -46,7 +54,7 @@
                       : result.text.substr(version + 1, result.text.find('\n') - version - 1);
     std::string expected;
     for (unsigned i = 1; i <= m_chunkCounts[result.id.value]; ++i) {
-        expected += (i > 1 ? "\n" : "") + chunkText(result.id, i, softwareVersion);
+        expected += (i > 1 ? "\n" : "") + paddedChunk(result.id, i, softwareVersion);
     }
     if (expected != result.text) {
         addViolation("text of " + result.id.value
@@ -250,7 +258,7 @@
     }
     deliver(daemon, generation,
             run_progressed{op,
-                           {{produced, chunkText(id, produced, target->entry.softwareVersion), version}}});
+                           {{produced, paddedChunk(id, produced, target->entry.softwareVersion), version}}});
     // The daemon may have cancelled the run on the delivery of the chunk.
     const auto remaining = m_runs.find({daemon, op});
     if (complete && remaining != m_runs.end()) {
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -406,8 +406,9 @@
         EXPECT_LE(fragments[i].size(), kMaxRowBytes);
         assembler.add({{table_id::results, "p", resultKey({"b"}, 0, i)}, 1, fragments[i], false});
     }
-    ASSERT_EQ(assembler.finish().size(), 1U);
-    EXPECT_EQ(assembler.finish().front(), result);
+    const std::vector<item_result> results = assembler.takeComplete();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front(), result);
 }
 
 namespace {
--- a/tests/test_node_large_batches.cpp
+++ b/tests/test_node_large_batches.cpp
@@ -42,6 +42,22 @@
     return simulation.rowCount(table_id::heads, submitted.id.value + "/a");
 }
 
+/// Reads a batch page by page, as a client does.
+std::vector<item_result> readPages(node_simulation &simulation, std::size_t daemon, const batch &submitted)
+{
+    std::vector<item_result> results;
+    while (results.size() < submitted.items.size()) {
+        const exchange_id request = simulation.requestPage(daemon, submitted.id, results.size());
+        simulation.run(milliseconds{500});
+        const auto *page = simulation.answerAs<answer_page>(request);
+        if (page == nullptr || page->results.empty()) {
+            break;
+        }
+        results.insert(results.end(), page->results.begin(), page->results.end());
+    }
+    return results;
+}
+
 /// Checks the bodies of the first, a middle and the last item, as told by each daemon.
 void expectBodies(node_simulation &simulation, const batch &submitted)
 {
@@ -221,6 +237,55 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+TEST(node_large_batches, resultsLargerThanATransactionAreListedAndTakenOver)
+{
+    node_simulation simulation(270);
+    simulation.run(kStartupTime);
+    simulation.setChunkBytes(400'000);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {5, 1, 6, 5});
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    const std::vector<item_result> listed = simulation.committedResults(submitted.id);
+    for (std::size_t daemon = 0; daemon < simulation.daemonCount(); ++daemon) {
+        EXPECT_EQ(readPages(simulation, daemon, submitted), listed) << daemon;
+    }
+    const std::size_t owner = simulation.ownerIndex(submitted.id);
+    simulation.kill(owner);
+    ASSERT_TRUE(simulation.runUntil(
+            [&] { return simulation.ownerState(submitted.id).owned.contains(submitted.id); }, kLongTimeout));
+    EXPECT_EQ(simulation.ownerState(submitted.id).owned.at(submitted.id).committedResults, listed);
+    EXPECT_EQ(readPages(simulation, simulation.ownerIndex(submitted.id), submitted), listed);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
+TEST(node_large_batches, ownerMayDieWhileALongResultIsStored)
+{
+    for (std::uint64_t seed = 271; seed < 274; ++seed) {
+        node_simulation simulation(seed);
+        simulation.run(kStartupTime);
+        simulation.setChunkBytes(400'000);
+        simulation.setLostAnswerShare(0.2);
+        const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {4, 6});
+        ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+        // Some rows of the first result are stored, and the result is not committed.
+        ASSERT_TRUE(simulation.runUntil(
+                [&] { return simulation.rowCount(table_id::results, submitted.id.value + "/") > 0; },
+                kLongTimeout));
+        ASSERT_TRUE(simulation.committedResults(submitted.id).empty());
+        const exchange_id page = simulation.requestPage(1, submitted.id, 0);
+        simulation.run(milliseconds{14});
+        EXPECT_EQ(simulation.answerAs<answer_page>(page) == nullptr
+                          || simulation.answerAs<answer_page>(page)->results.empty(),
+                  simulation.committedResults(submitted.id).empty());
+        simulation.kill(simulation.ownerIndex(submitted.id));
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+        simulation.setLostAnswerShare(0);
+        EXPECT_EQ(readPages(simulation, simulation.ownerIndex(submitted.id), submitted),
+                  simulation.committedResults(submitted.id));
+        EXPECT_EQ(simulation.violationText(), "");
+    }
+}
+
 TEST(node_large_batches, batchThatTheStoreNeverTakesIsRefusedForGood)
 {
     node_simulation simulation(261);
