A page counts its results as they are sent

Cause: a page was cut at 700 KB of texts. Escapes make a text up to six times as long in JSON, and ids, versions and scores were not counted, so a page could exceed the 1 MB that readers take. The owner also copied all results from the reader's position on before it cut them.

Change: a page ends at 700 KB of what its results take at most as JSON; only the results of the page are copied. One result alone may still exceed it, because a page has at least one.

Measured: pageOfEscapedTextsStaysWithinItsLimit passes; it fails while texts count unescaped.

--- a/src/node_pages.cpp
+++ b/src/node_pages.cpp
@@ -2,6 +2,7 @@
 #include "node_step.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace jacinthvale::node {
 
@@ -15,9 +16,13 @@
 /// delay.
 constexpr milliseconds kReaderRetryAfter{300};
 
-/// Maximum bytes of texts in one page. The platform's page allows 1 MB, and JSON escapes make texts longer.
+/// Maximum bytes of the results in one page as they are sent. The platform's page allows 1 MB.
 constexpr std::size_t kMaxPageBytes = 700'000;
 
+/// Bytes of a result in a page beside its texts and versions, and of one version.
+constexpr std::size_t kPageResultOverhead = 64;
+constexpr std::size_t kPageVersionBytes = 21;
+
 /// Time that the read of a page from the store should take. The transfer to the reader takes about as long,
 /// and readers without a wait time give up after 1.5 s.
 constexpr double kPageReadMs = 300;
@@ -51,18 +56,36 @@
     }
 }
 
-/// Drops the results that exceed the size of a page; keeps at least one, however long.
-std::vector<item_result> cutToPage(std::vector<item_result> results)
+/// @returns the most bytes that a text takes as a JSON string.
+std::size_t escapedBytes(const std::string &text)
+{
+    return std::accumulate(text.begin(), text.end(), std::size_t{0}, [](std::size_t bytes, char c) {
+        constexpr std::size_t kUnicodeEscape = 6;
+        constexpr std::size_t kReplacementCharacter = 3;
+        if (c == '"' || c == '\\' || (c >= '\b' && c <= '\r' && c != '\v')) {
+            return bytes + 2;
+        }
+        const auto code = static_cast<unsigned char>(c);
+        return bytes + (code < ' ' ? kUnicodeEscape : code > '~' ? kReplacementCharacter : 1);
+    });
+}
+
+std::size_t pageBytes(const item_result &result)
 {
+    return kPageResultOverhead + result.id.value.size() + escapedBytes(result.text)
+           + escapedBytes(result.score) + result.versions.size() * kPageVersionBytes;
+}
+
+/// @returns the results from `first` on that fit a page; at least one if there is one, however long.
+std::vector<item_result> cutToPage(const std::vector<item_result> &results, std::size_t first)
+{
+    const auto begin = results.begin() + static_cast<std::ptrdiff_t>(std::min(first, results.size()));
     std::size_t bytes = 0;
-    const auto end = std::ranges::find_if(results, [&](const item_result &result) {
-        bytes += result.text.size();
+    const auto end = std::find_if(begin, results.end(), [&](const item_result &result) {
+        bytes += pageBytes(result);
         return bytes > kMaxPageBytes;
     });
-    if (end != results.end()) {
-        results.erase(end == results.begin() ? end + 1 : end, results.end());
-    }
-    return results;
+    return {begin, end == begin && end != results.end() ? end + 1 : end};
 }
 
 /// Answers a reader and logs which results it got.
@@ -84,13 +107,9 @@
     if (reader.after >= batch.committedResults.size() && !complete && reader.until > s.ctx.now) {
         return false;
     }
-    std::vector<item_result> results;
-    if (reader.after < batch.committedResults.size()) {
-        results.assign(batch.committedResults.begin() + static_cast<std::ptrdiff_t>(reader.after),
-                       batch.committedResults.end());
-    }
     answerPage(s, batch.spec.id,
-               {reader.exchange, batch.items.size(), reader.after, cutToPage(std::move(results))});
+               {reader.exchange, batch.items.size(), reader.after,
+                cutToPage(batch.committedResults, reader.after)});
     return true;
 }
 
@@ -186,7 +205,7 @@
         page.nextAt = s.ctx.now + kPagePollInterval;
         return;
     }
-    answerPage(s, page.batch, {page.exchange, total, page.after, cutToPage(std::move(results))});
+    answerPage(s, page.batch, {page.exchange, total, page.after, cutToPage(results, 0)});
     s.state.pages.erase(found);
 }
 
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -159,7 +159,11 @@
     /// Rejects writes to one table while reads of all tables succeed.
     void setWritesRejected(node::table_id table, bool rejected);
     /// Extends the text of each chunk of an item to this many bytes.
-    void setChunkBytes(std::size_t bytes) { m_chunkBytes = bytes; }
+    void setChunkBytes(std::size_t bytes, char fill = '.')
+    {
+        m_chunkBytes = bytes;
+        m_chunkFill = fill;
+    }
     /// Share of applied transactions whose answer is lost.
     void setLostAnswerShare(double share) { m_lostAnswerShare = share; }
     /// Time until a daemon sends a transaction without an answer again, as its timeout for writes does.
@@ -370,6 +374,7 @@
     double m_storeReads = 0;
     std::size_t m_readCount = 0;
     std::size_t m_chunkBytes = 0;
+    char m_chunkFill = '.';
     std::size_t m_runsStarted = 0;
     std::size_t m_claimCount = 0;
     std::size_t m_ordersSent = 0;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -41,7 +41,7 @@
                                          const std::string &softwareVersion) const
 {
     std::string text = chunkText(id, number, softwareVersion);
-    text.resize(std::max(text.size(), m_chunkBytes), '.');
+    text.resize(std::max(text.size(), m_chunkBytes), m_chunkFill);
     return text;
 }
 
--- a/tests/test_node_large_batches.cpp
+++ b/tests/test_node_large_batches.cpp
@@ -4,6 +4,7 @@
 #include "node_simulation.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace jacinthvale {
 
@@ -286,6 +287,29 @@
     }
 }
 
+TEST(node_large_batches, pageOfEscapedTextsStaysWithinItsLimit)
+{
+    node_simulation simulation(280);
+    simulation.run(kStartupTime);
+    simulation.setChunkBytes(20'000, '\x01');
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, std::vector<unsigned>(12, 2));
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    for (std::size_t daemon = 0; daemon < simulation.daemonCount(); ++daemon) {
+        const exchange_id request = simulation.requestPage(daemon, submitted.id, 0);
+        simulation.run(milliseconds{500});
+        const auto *page = simulation.answerAs<answer_page>(request);
+        ASSERT_NE(page, nullptr);
+        std::size_t bytes = 0;
+        for (const item_result &result : page->results) {
+            bytes += nlohmann::json(result.text).dump().size();
+        }
+        EXPECT_GT(bytes, 0U);
+        EXPECT_LE(bytes, 1'000'000U);
+        EXPECT_EQ(readPages(simulation, daemon, submitted).size(), submitted.items.size());
+    }
+}
+
 TEST(node_large_batches, batchThatTheStoreNeverTakesIsRefusedForGood)
 {
     node_simulation simulation(261);
