The progress of many items fits a transaction

Cause: checkpoints and the hand-over bounded the bytes of texts at 500 KB, but not ids, versions, builds and scores. With thousands of short texts (3,500 items with ids of 100 bytes) the transaction exceeded 1 MB: the store refused it, and a stopping owner could not hand its batch over.

Change: an item's progress counts with all that is encoded of it.

Measured: batchWithTheProgressOfManyItemsIsHandedOver passes; it fails while only texts count.

--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -22,10 +22,20 @@
 /// half a second.
 constexpr std::uint64_t kMinCheckpointChunks = 6;
 
-/// Maximum bytes of unfinished texts in one transaction. The platform accepts 1 MB; encoding makes values a
-/// third larger.
+/// Maximum bytes of the progress in one transaction. The platform accepts 1 MB; encoding makes values a third
+/// larger.
 constexpr std::size_t kMaxProgressBytes = 500'000;
 
+/// Bytes of an item's progress beside its texts and versions.
+constexpr std::size_t kProgressOverheadBytes = 96;
+
+std::size_t progressBytes(const owned_item &item)
+{
+    return kProgressOverheadBytes + item.item.id.value.size() + item.text.size() + item.score.size()
+           + item.versions.size() * sizeof(std::uint64_t) + item.build.service.value.size()
+           + item.build.softwareVersion.size();
+}
+
 std::vector<item_progress> progressOf(const owned_batch &batch)
 {
     std::vector<item_progress> result;
@@ -36,10 +46,10 @@
                   || (item.phase == item_phase::finished && item.outcome == item_state::succeeded);
         const bool started = item.chunkCount >= kMinCheckpointChunks || item.failures > 0;
         if ((!complete && !(item.isGenerating() && started))
-            || bytes + item.text.size() > kMaxProgressBytes) {
+            || bytes + progressBytes(item) > kMaxProgressBytes) {
             continue;
         }
-        bytes += item.text.size();
+        bytes += progressBytes(item);
         result.push_back({item.item.id, item.text, item.chunkCount,
                           std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()),
                           item.failures, complete, item.score, item.rewardFailures, item.build});
--- a/tests/test_node_large_batches.cpp
+++ b/tests/test_node_large_batches.cpp
@@ -310,6 +310,30 @@
     }
 }
 
+TEST(node_large_batches, batchWithTheProgressOfManyItemsIsHandedOver)
+{
+    node_simulation simulation(281, 3, 12);
+    simulation.run(kStartupTime);
+    // The items wait for their scores with complete texts.
+    simulation.upstream(12).callBehaviour = test::call_behaviour::hangs;
+    simulation.upstream(13).callBehaviour = test::call_behaviour::hangs;
+    const batch submitted = node_simulation::withRewards(
+            node_simulation::makeBatch(std::string(100, 'b'), "m0", 1, std::vector<unsigned>(3500, 1)));
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.runsStarted() >= submitted.items.size(); },
+                                    kLongTimeout));
+    simulation.run(milliseconds{500});
+    const std::size_t before = simulation.ownerIndex(submitted.id);
+    simulation.stop(before);
+    // Its owner would end only seconds later.
+    EXPECT_TRUE(simulation.runUntil(
+            [&] {
+                const std::size_t owner = simulation.ownerIndex(submitted.id);
+                return owner != before && simulation.state(owner).owned.contains(submitted.id);
+            },
+            milliseconds{1500}));
+}
+
 TEST(node_large_batches, batchThatTheStoreNeverTakesIsRefusedForGood)
 {
     node_simulation simulation(261);
