--- a/src/node_batches.cpp
+++ b/src/node_batches.cpp
@@ -17,10 +17,6 @@
 constexpr std::size_t kMaxResultRowsPerCommit = 80;
 constexpr std::size_t kMaxResultBytesPerCommit = 600'000;
 
-/// Time to store a batch before the trainer is told to try another daemon. About a third of the 12 s that
-/// trainers wait, so that their second attempt still has time.
-constexpr milliseconds kAcceptTimeout{3500};
-
 /// Retry delay sent when a batch could not be stored, or when this daemon is stopping or has no configuration
 /// yet. The store may have rejected this host only for a moment.
 constexpr milliseconds kRetryAfterStoreFailure{500};
@@ -44,22 +40,6 @@
                               std::uint64_t{0});
 }
 
-const row *findRow(const std::vector<row> &rows, table_id table, const std::string &key)
-{
-    const auto found = std::ranges::find_if(rows, [&](const row &r) {
-        return r.key.table == table && r.key.key == key && !r.removed && r.version != 0;
-    });
-    return found == rows.end() ? nullptr : &*found;
-}
-
-void answerPendingExchanges(step &s, const batch_id &id, const std::function<void(exchange_id)> &answer)
-{
-    const auto extracted = s.state.pending.extract(id);
-    if (!extracted.empty()) {
-        std::ranges::for_each(extracted.mapped().exchanges, answer);
-    }
-}
-
 void answerResubmission(step &s, exchange_id exchange, const batch_head &head, const account_id &account)
 {
     if (!mayAccess(head.spec.account, account)) {
@@ -77,9 +57,9 @@
     owned.epoch = epoch;
     owned.headVersion = headVersion;
     owned.acceptedAtMs = acceptedAtMs;
-    for (const batch_item &item : spec.items) {
+    for (batch_item &item : spec.items) {
         owned_item ownedItem;
-        ownedItem.item = item;
+        ownedItem.item = std::move(item);
         owned.items.push_back(std::move(ownedItem));
     }
     spec.items.clear();
@@ -97,8 +77,48 @@
             std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()), item.score};
 }
 
+/// @returns the transaction that stores a whole batch, without its operation.
+commit_rows acceptTransaction(const batch &spec, const std::string &headValue)
+{
+    const batch_id &id = spec.id;
+    commit_rows commit{{}, batchPartition(id), {{table_id::heads, id.value, 0}}, {}, kAcceptTimeout};
+    commit.puts.push_back({table_id::heads, id.value, headValue});
+    const std::vector<std::string> fragments = splitIntoFragments(encodeItems(spec.items));
+    for (std::size_t i = 0; i < fragments.size(); ++i) {
+        commit.puts.push_back({table_id::items, itemsKey(id, i), fragments[i]});
+    }
+    const std::vector<std::string> extensions = splitIntoFragments(encodeExtensions(spec.items));
+    for (std::size_t i = 0; i < extensions.size(); ++i) {
+        commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
+    }
+    return commit;
+}
+
 } // namespace
 
+void answerPendingExchanges(step &s, const batch_id &id, const std::function<void(exchange_id)> &answer)
+{
+    const auto extracted = s.state.pending.extract(id);
+    if (!extracted.empty()) {
+        std::ranges::for_each(extracted.mapped().exchanges, answer);
+    }
+}
+
+batch_head newHead(const step &s, const pending_batch &pending)
+{
+    const batch &spec = pending.spec;
+    batch_head head;
+    const auto owners = rankedOwners(s.state, spec.model, s.ctx.now);
+    head.owner = owners.empty() ? ownName(s.state) : owners.front();
+    head.epoch = 1;
+    head.total = spec.items.size();
+    head.acceptedAtMs = storeTime(s.state, pending.receivedAt);
+    head.workTokens = totalTokens(spec);
+    head.spec = {spec.id,         spec.host,         spec.path, spec.model,  spec.step,
+                 spec.minVersion, spec.groupsWanted, {},        spec.account};
+    return head;
+}
+
 void adoptBatch(step &s, owned_batch batch)
 {
     const batch_id id = batch.spec.id;
@@ -154,39 +174,39 @@
         s.emit(refuse_call{received.exchange, refusal::not_run, kRetryAfterOutage});
         return;
     }
-    batch_head head;
-    const auto owners = rankedOwners(state, received.spec.model, s.ctx.now);
-    head.owner = owners.empty() ? ownName(state) : owners.front();
-    head.epoch = 1;
-    head.total = received.spec.items.size();
-    head.acceptedAtMs = storeTime(state, s.ctx.now);
-    head.workTokens = totalTokens(received.spec);
-    head.spec = received.spec;
-    head.spec.account = *account;
-    const op_id op = s.open(accept_operation{id});
-    commit_rows commit{op, batchPartition(id), {{table_id::heads, id.value, 0}}, {}, kAcceptTimeout};
-    const std::string headValue = encodeHead(head);
-    commit.puts.push_back({table_id::heads, id.value, headValue});
-    const std::vector<std::string> fragments = splitIntoFragments(encodeItems(received.spec.items));
-    for (std::size_t i = 0; i < fragments.size(); ++i) {
-        commit.puts.push_back({table_id::items, itemsKey(id, i), fragments[i]});
+    pending_batch &pending = state.pending[id];
+    pending = {received.spec, {received.exchange}, {}, s.ctx.now};
+    pending.spec.account = *account;
+    // A batch that is larger even before it is encoded is not encoded in one piece.
+    if (encodedBytes(pending.spec.items) > kMaxTransactionBytes) {
+        startStoring(s, pending);
+        return;
     }
-    const std::vector<std::string> extensions = splitIntoFragments(encodeExtensions(received.spec.items));
-    for (std::size_t i = 0; i < extensions.size(); ++i) {
-        commit.puts.push_back({table_id::items, extensionsKey(id, i), extensions[i]});
+    pending.ownHeadValue = encodeHead(newHead(s, pending));
+    commit_rows commit = acceptTransaction(pending.spec, pending.ownHeadValue);
+    if (!fitsOneTransaction(commit)) {
+        startStoring(s, pending);
+        return;
     }
-    state.pending[id] = {received.spec, {received.exchange}, headValue, s.ctx.now};
-    state.pending[id].spec.account = *account;
+    commit.op = s.open(accept_operation{id});
     s.emit(std::move(commit));
 }
 
 void onAcceptCommitted(step &s, const batch_id &id, const rows_committed &committed)
 {
-    const auto found = s.state.pending.find(id);
-    if (found == s.state.pending.end()) {
+    if (const auto found = s.state.pending.find(id);
+        found != s.state.pending.end() && isStoringSections(found->second)) {
+        onSectionsStored(s, found->second, committed.version);
         return;
     }
-    const pending_batch accepted = found->second;
+    auto extracted = s.state.pending.extract(id);
+    if (extracted.empty()) {
+        return;
+    }
+    pending_batch &accepted = extracted.mapped();
+    if (accepted.storing) {
+        s.state.storeAttempts.erase(attemptKey(id, accepted.storing->manifest.attempt));
+    }
     batch_head head = *decodeHead({{table_id::heads, batchPartition(id), id.value},
                                    committed.version,
                                    accepted.ownHeadValue,
@@ -198,7 +218,9 @@
            {"step", static_cast<std::int64_t>(head.spec.step)},
            {"account", head.spec.account.value},
            {"receivedAgoMs", (s.ctx.now - accepted.receivedAt).count()}});
-    answerPendingExchanges(s, id, [&](exchange_id exchange) { s.emit(accept_batch{exchange}); });
+    for (const exchange_id exchange : accepted.exchanges) {
+        s.emit(accept_batch{exchange});
+    }
     const std::uint64_t acceptedAtMs = head.acceptedAtMs;
     batch_head &cached = s.state.heads[id];
     if (cached.rowVersion > committed.version) {
@@ -209,7 +231,7 @@
     if (cached.owner != ownName(s.state)) {
         return;
     }
-    adoptAcceptedBatch(s, accepted.spec, 1, committed.version, acceptedAtMs);
+    adoptAcceptedBatch(s, std::move(accepted.spec), 1, committed.version, acceptedAtMs);
 }
 
 void onAcceptConflict(step &s, const batch_id &id, const rows_conflict &conflict)
@@ -223,6 +245,10 @@
         onAcceptCommitted(s, id, {conflict.op, head->version, 0});
         return;
     }
+    if (head == nullptr && found->second.storing) {
+        onStoringConflict(s, found->second, conflict);
+        return;
+    }
     if (head != nullptr) {
         onHeadRow(s, *head);
     }
@@ -240,17 +266,41 @@
 
 void onAcceptFailed(step &s, const batch_id &id, const store_failed &failure)
 {
-    s.log("batch-not-stored", id.value,
-          failure.reason + (failure.outcomeUnknown ? "; may still be stored" : "; not stored"));
+    const auto found = s.state.pending.find(id);
+    // Sections without their head row are no batch.
+    const bool mayBeStored
+            = failure.outcomeUnknown && found != s.state.pending.end() && !isStoringSections(found->second);
+    const refusal reason = mayBeStored       ? refusal::may_have_run
+                           : failure.invalid ? refusal::not_storable
+                                             : refusal::not_run;
+    refusePending(s, id, reason, failure.reason);
+}
+
+void refusePending(step &s, const batch_id &id, refusal reason, const std::string &detail)
+{
+    const std::string consequence = reason == refusal::may_have_run   ? "; may still be stored"
+                                    : reason == refusal::not_storable ? "; refused for good"
+                                                                      : "; not stored";
+    s.log("batch-not-stored", id.value, detail + consequence);
     s.emit(count{"batches_not_stored"});
     answerPendingExchanges(s, id, [&](exchange_id exchange) {
-        s.emit(refuse_call{exchange, failure.outcomeUnknown ? refusal::may_have_run : refusal::not_run,
-                           kRetryAfterStoreFailure});
+        s.emit(refuse_call{exchange, reason, kRetryAfterStoreFailure});
     });
 }
 
+const row *findRow(const std::vector<row> &rows, table_id table, const std::string &key)
+{
+    const auto found = std::ranges::find_if(rows, [&](const row &r) {
+        return r.key.table == table && r.key.key == key && !r.removed && r.version != 0;
+    });
+    return found == rows.end() ? nullptr : &*found;
+}
+
 void onHeadRow(step &s, const row &headRow)
 {
+    if (onAttemptRow(s, headRow)) {
+        return;
+    }
     const batch_id id{headRow.key.key};
     if (headRow.removed) {
         s.state.heads.erase(id);
@@ -340,6 +390,40 @@
     }
 }
 
+namespace {
+
+/// Fragments of a long result in one transaction: about 800 KB as transferred.
+constexpr std::size_t kLongResultFragmentsPerCommit = 10;
+
+/// Leaves only the first of the results that are about to be committed.
+void commitAlone(owned_batch &batch)
+{
+    batch.finished.insert(batch.finished.begin(), batch.committing.begin() + 1, batch.committing.end());
+    batch.committing.resize(1);
+}
+
+/// @returns the next rows of a result that exceeds one transaction. Fragment 0 commits it: it follows the
+/// others.
+std::vector<row_put> nextLongResultPuts(owned_batch &batch)
+{
+    const batch_id &id = batch.spec.id;
+    const std::size_t position = batch.committedResults.size();
+    const std::vector<std::string> fragments
+            = splitIntoFragments(encodeResult(resultOf(batch.items[batch.committing.front()])));
+    batch.sentFragments = std::min(kLongResultFragmentsPerCommit, fragments.size() - batch.storedFragments);
+    std::vector<row_put> puts;
+    for (std::size_t i = 0; i < batch.sentFragments; ++i) {
+        const std::size_t number = batch.storedFragments + i;
+        puts.push_back({table_id::results, resultKey(id, position, number + 1), fragments[number]});
+    }
+    if (puts.empty()) {
+        puts.push_back({table_id::results, resultKey(id, position, 0), encodeLongResult(fragments.size())});
+    }
+    return puts;
+}
+
+} // namespace
+
 void commitFinished(step &s, owned_batch &batch)
 {
     if (batch.commitOp.value != 0 || batch.handingOver) {
@@ -368,8 +452,7 @@
     }
     const batch_id &id = batch.spec.id;
     const std::size_t position = batch.committedResults.size();
-    batch.commitOp = s.open(commit_operation{id});
-    commit_rows commit{batch.commitOp,
+    commit_rows commit{{},
                        batchPartition(id),
                        {{table_id::heads, id.value, batch.headVersion},
                         {table_id::results, resultKey(id, position, 0), 0}},
@@ -382,6 +465,12 @@
             commit.puts.push_back({table_id::results, resultKey(id, position + i, f), fragments[f]});
         }
     }
+    if (!fitsOneTransaction(commit)) {
+        commitAlone(batch);
+        commit.puts = nextLongResultPuts(batch);
+    }
+    batch.commitOp = s.open(commit_operation{id});
+    commit.op = batch.commitOp;
     s.emit(std::move(commit));
 }
 
@@ -393,6 +482,12 @@
     }
     owned_batch &batch = found->second;
     batch.commitOp = {};
+    if (batch.sentFragments > 0) {
+        batch.storedFragments += std::exchange(batch.sentFragments, 0);
+        commitFinished(s, batch);
+        return;
+    }
+    batch.storedFragments = 0;
     for (const std::size_t index : batch.committing) {
         owned_item &item = batch.items[index];
         item.phase = item_phase::committed;
@@ -415,6 +510,7 @@
     }
     owned_batch &batch = found->second;
     batch.commitOp = {};
+    batch.sentFragments = 0;
     const row *head = findRow(conflict.rows, table_id::heads, id.value);
     const bool committed
             = findRow(conflict.rows, table_id::results, resultKey(id, batch.committedResults.size(), 0))
@@ -444,6 +540,7 @@
     }
     // Commits the same results at the same positions again: the unanswered transaction may still be applied.
     found->second.commitOp = {};
+    found->second.sentFragments = 0;
     s.log("results-not-listed", id.value,
           std::to_string(found->second.committing.size())
                   + " results not confirmed by the store; committing them again");
--- a/src/node_rows.h
+++ b/src/node_rows.h
@@ -13,6 +13,10 @@
 /// Maximum size in bytes of a row's value before base64 encoding; the platform's limit is 65536 bytes.
 inline constexpr std::size_t kMaxRowBytes = 60'000;
 
+/// Maximum entries of a transaction, and bytes of its entries as transferred.
+inline constexpr std::size_t kMaxTransactionEntries = 100;
+inline constexpr std::size_t kMaxTransactionBytes = 950'000;
+
 /// Partition that holds all rows of a batch.
 std::string batchPartition(const batch_id &id);
 
@@ -38,11 +42,32 @@
 std::string extensionsKeyPrefix(const batch_id &id);
 std::string itemsKeyPrefix(const batch_id &id);
 std::string progressKeyPrefix(const batch_id &id);
-/// Returns the result's position in its batch, or nullopt if the key is not a result key.
-std::optional<std::size_t> resultPosition(const std::string &key);
+/// Position of a result in its batch, and number of the fragment.
+struct result_fragment
+{
+    std::size_t position = 0;
+    std::size_t number = 0;
+};
+/// Returns nullopt if the key is not a result key.
+std::optional<result_fragment> resultFragment(const std::string &key);
 bool isProgressKey(const batch_id &id, const std::string &key);
 bool isExtensionsKey(const batch_id &id, const std::string &key);
 
+/// Key of the row of an attempt to store a batch in several transactions; it is in the table of heads.
+std::string attemptKey(const batch_id &id, store_attempt_id attempt);
+bool isAttemptKey(const std::string &key);
+std::string encodeAttempt(const store_attempt &attempt);
+/// @returns nullopt if the row is not that of an attempt.
+std::optional<store_attempt> decodeAttempt(const row &source);
+/// Key of a row with a part of the items, numbered through all sections of the attempt, and the bounds of the
+/// keys of these rows. Takeovers and requests for items of other batches do not read them.
+std::string sectionRowKey(const batch_id &id, store_attempt_id attempt, std::size_t number);
+std::string sectionRowsBegin(const batch_id &id, store_attempt_id attempt);
+std::string sectionRowsEnd(const batch_id &id, store_attempt_id attempt);
+
+/// True if the transaction can be sent as it is.
+bool fitsOneTransaction(const commit_rows &commit);
+
 /// Splits bytes into fragments of at most kMaxRowBytes; returns one empty fragment for empty input.
 std::vector<std::string> splitIntoFragments(const std::string &bytes);
 
@@ -80,10 +105,27 @@
 /// Sets prompt tokens and reward calls of the items from encoded extensions; none for batches that an older
 /// build accepted. @returns false if the bytes are malformed.
 bool applyExtensions(const std::string &bytes, std::vector<batch_item> &items);
+/// The manifest takes the place of the items (itemsKey()).
+std::string encodeManifest(const batch_manifest &manifest);
+/// @returns nullopt if the bytes are encoded items.
+std::optional<batch_manifest> decodeManifest(const std::string &bytes);
+/// @returns approximately the bytes of the encoded items.
+std::size_t encodedBytes(const std::vector<batch_item> &items);
+/// @returns the number of items from `first` on that make up the next section.
+std::size_t nextSectionSize(const std::vector<batch_item> &items, std::size_t first);
+std::string encodeSection(const std::vector<batch_item> &items, std::size_t first, std::size_t count);
+/// Adds rows of sections in ascending order of their keys.
+void readSectionRows(section_reader &reader, const std::vector<row_change> &rows);
+bool isComplete(const section_reader &reader);
 std::string encodeProgress(const std::vector<item_progress> &items);
 std::optional<std::vector<item_progress>> decodeProgress(const std::string &bytes);
 std::string encodeResult(const item_result &result);
 std::optional<item_result> decodeResult(const std::string &bytes);
+/// Encodes fragment 0 of a result that exceeds one transaction. The fragments after it hold the result; they
+/// are written first, and those of an earlier owner may follow them.
+std::string encodeLongResult(std::size_t fragments);
+/// @returns the number of fragments that follow; nullopt if the result itself begins here.
+std::optional<std::size_t> decodeLongResult(const std::string &value);
 std::string encodeMember(const member &daemon);
 std::optional<member> decodeMember(const row &source);
 
@@ -135,18 +177,4 @@
 std::string encodeDutyLease(const duty_lease_row &lease);
 std::optional<duty_lease_row> decodeDutyLease(const row &source);
 
-/// Reassembles committed results from their fragments. The first row added must be the first fragment of a
-/// result.
-class result_assembler
-{
-public:
-    /// Adds a fragment. Rows of other kinds are ignored.
-    void add(const row &fragment);
-    /// Returns the results in order of position, up to the first one that is incomplete or damaged.
-    std::vector<item_result> finish();
-
-private:
-    std::map<std::size_t, std::string> m_bytes;
-};
-
 } // namespace jacinthvale::node
--- a/src/node_takeover.cpp
+++ b/src/node_takeover.cpp
@@ -22,10 +22,20 @@
 /// half a second.
 constexpr std::uint64_t kMinCheckpointChunks = 6;
 
-/// Maximum bytes of unfinished texts in one transaction. The platform accepts 1 MB; encoding makes values a
-/// third larger.
+/// Maximum bytes of the progress in one transaction. The platform accepts 1 MB; encoding makes values a third
+/// larger.
 constexpr std::size_t kMaxProgressBytes = 500'000;
 
+/// Bytes of an item's progress beside its texts and versions.
+constexpr std::size_t kProgressOverheadBytes = 96;
+
+std::size_t progressBytes(const owned_item &item)
+{
+    return kProgressOverheadBytes + item.item.id.value.size() + item.text.size() + item.score.size()
+           + item.versions.size() * sizeof(std::uint64_t) + item.build.service.value.size()
+           + item.build.softwareVersion.size();
+}
+
 std::vector<item_progress> progressOf(const owned_batch &batch)
 {
     std::vector<item_progress> result;
@@ -36,10 +46,10 @@
                   || (item.phase == item_phase::finished && item.outcome == item_state::succeeded);
         const bool started = item.chunkCount >= kMinCheckpointChunks || item.failures > 0;
         if ((!complete && !(item.isGenerating() && started))
-            || bytes + item.text.size() > kMaxProgressBytes) {
+            || bytes + progressBytes(item) > kMaxProgressBytes) {
             continue;
         }
-        bytes += item.text.size();
+        bytes += progressBytes(item);
         result.push_back({item.item.id, item.text, item.chunkCount,
                           std::vector<std::uint64_t>(item.versions.begin(), item.versions.end()),
                           item.failures, complete, item.score, item.rewardFailures, item.build});
@@ -78,22 +88,57 @@
     const batch_id &id = loading.head.spec.id;
     const op_id op = s.open(load_operation{id});
     loading.op = op;
-    if (loading.readingResults) {
-        s.emit(read_rows{op, table_id::results, batchPartition(id),
-                         loading.nextFrom.empty() ? resultKey(id, 0, 0) : loading.nextFrom,
-                         batchKeysEnd(id)});
-        return;
+    const auto read = [&](table_id table, const std::string &first, const std::string &end) {
+        s.emit(read_rows{op, table, batchPartition(id), loading.nextFrom.empty() ? first : loading.nextFrom,
+                         end});
+    };
+    switch (loading.stage) {
+    case load_stage::rows:
+        read(table_id::items, extensionsKeyPrefix(id), batchKeysEnd(id));
+        break;
+    case load_stage::sections: {
+        const store_attempt_id attempt = loading.sections->manifest.attempt;
+        read(table_id::items, sectionRowsBegin(id, attempt), sectionRowsEnd(id, attempt));
+        break;
+    }
+    case load_stage::results:
+        read(table_id::results, resultKey(id, 0, 0), batchKeysEnd(id));
+        break;
     }
-    s.emit(read_rows{op, table_id::items, batchPartition(id),
-                     loading.nextFrom.empty() ? extensionsKeyPrefix(id) : loading.nextFrom,
-                     batchKeysEnd(id)});
+}
+
+/// Moves on once a stage is read completely. @returns false after the last stage.
+bool startNextStage(loading_batch &loading)
+{
+    if (loading.stage == load_stage::results) {
+        return false;
+    }
+    loading.nextFrom.clear();
+    if (loading.stage == load_stage::rows) {
+        if (auto manifest = decodeManifest(loading.itemBytes)) {
+            loading.sections = section_reader{*std::move(manifest)};
+            loading.stage = load_stage::sections;
+            return true;
+        }
+    }
+    loading.stage = load_stage::results;
+    return true;
+}
+
+/// @returns nullopt if the items cannot be decoded.
+std::optional<std::vector<batch_item>> takeItems(loading_batch &loading)
+{
+    if (!loading.sections) {
+        return decodeItems(loading.itemBytes);
+    }
+    return isComplete(*loading.sections) ? std::optional(std::move(loading.sections->items)) : std::nullopt;
 }
 
 void finishLoading(step &s, const batch_id &id)
 {
     const auto extracted = s.state.loading.extract(id);
     loading_batch &loading = extracted.mapped();
-    auto items = decodeItems(loading.itemBytes);
+    auto items = takeItems(loading);
     if (!items) {
         s.log("items-unreadable", id.value, "cannot decode the items; the batch is not run");
         return;
@@ -227,8 +272,11 @@
         return;
     }
     loading_batch &loading = found->second;
+    if (loading.stage == load_stage::sections) {
+        readSectionRows(*loading.sections, rows.rows);
+    }
     for (const row_change &change : rows.rows) {
-        if (loading.readingResults) {
+        if (loading.stage != load_stage::rows) {
             break;
         }
         if (isExtensionsKey(id, change.row.key.key)) {
@@ -239,24 +287,19 @@
             loading.itemBytes += change.row.value;
         }
     }
-    if (loading.readingResults) {
-        result_assembler assembler;
+    if (loading.stage == load_stage::results) {
         for (const row_change &change : rows.rows) {
-            assembler.add(change.row);
+            loading.assembler.add(change.row);
         }
-        std::vector<item_result> results = assembler.finish();
+        std::vector<item_result> results = loading.assembler.takeComplete();
         std::ranges::move(results, std::back_inserter(loading.results));
     }
     if (rows.truncated && !rows.rows.empty()) {
-        // A result that continues on the next page is read again from its first fragment.
-        loading.nextFrom = loading.readingResults ? resultKey(id, loading.results.size(), 0)
-                                                  : rows.rows.back().row.key.key + '\1';
+        loading.nextFrom = rows.rows.back().row.key.key + '\1';
         continueLoading(s, loading);
         return;
     }
-    loading.nextFrom.clear();
-    if (!loading.readingResults) {
-        loading.readingResults = true;
+    if (startNextStage(loading)) {
         continueLoading(s, loading);
         return;
     }
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -168,6 +168,12 @@
     void setStoreDown(bool down) { m_storeDown = down; }
     /// Rejects writes to one table while reads of all tables succeed.
     void setWritesRejected(node::table_id table, bool rejected);
+    /// Extends the text of each chunk of an item to this many bytes.
+    void setChunkBytes(std::size_t bytes, char fill = '.')
+    {
+        m_chunkBytes = bytes;
+        m_chunkFill = fill;
+    }
     /// Share of applied transactions whose answer is lost.
     void setLostAnswerShare(double share) { m_lostAnswerShare = share; }
     /// Time until a daemon sends a transaction without an answer again, as its timeout for writes does.
@@ -214,6 +220,8 @@
     /// Returns a batch whose items produce the given numbers of chunks.
     static node::batch makeBatch(const std::string &id, const std::string &model, std::uint64_t minVersion,
                                  const std::vector<unsigned> &chunkCounts);
+    /// Extends the body of each item to this many bytes.
+    static node::batch withBodies(node::batch submitted, std::size_t bytes);
 
     /// Upstreams with even and odd indices run different software versions, "1a" and "2b".
     void runTwoVersions();
@@ -227,6 +235,8 @@
     bool isUp(std::size_t daemon) const { return m_daemons.at(daemon).up; }
     std::size_t daemonCount() const { return m_daemons.size(); }
     instant now() const { return m_now; }
+    /// Number of rows of a table whose keys begin so.
+    std::size_t rowCount(node::table_id table, const std::string &keyPrefix) const;
     /// Complete committed results of a batch in the table.
     std::vector<node::item_result> committedResults(const node::batch_id &id) const;
     bool allCommitted(const node::batch &submitted) const
@@ -312,6 +322,12 @@
     void writeUpstreamRow(const simulated_upstream &upstream);
     void writeUpstreamHeartbeats();
     void checkResults(const node::commit_rows &transaction);
+    /// @returns the result at a position as it is after the transaction.
+    std::optional<node::item_result> resultWrittenAt(const node::commit_rows &transaction,
+                                                     const node::batch_id &id, std::size_t position) const;
+    /// Text of a chunk, extended to the set size.
+    std::string paddedChunk(const node::item_id &id, std::uint64_t number,
+                            const std::string &softwareVersion) const;
     void addViolation(const std::string &text) { m_violations.push_back(text); }
     bool storeAnswers(std::size_t daemon) const
     {
@@ -375,6 +391,8 @@
     double m_storeReads = 0;
     std::optional<milliseconds> m_revocationBound;
     std::size_t m_readCount = 0;
+    std::size_t m_chunkBytes = 0;
+    char m_chunkFill = '.';
     std::size_t m_runsStarted = 0;
     std::size_t m_claimCount = 0;
     std::size_t m_ordersSent = 0;
