The holder of the duties decides and orders the numbers of upstreams

Cause: the decision had no inputs and no effects. Change: owners tell the work of their batches in the advisory, the holder sums it with the known heads, decides twice a second and orders through the duty record. Runs leave upstreams that are about to be taken away, the longest first.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -345,6 +345,8 @@
     double relativeCallDuration = 0;
     /// Version of the row as read from the store; 0 if it was read from another daemon.
     std::uint64_t rowVersion = 0;
+    /// When the upstream will be taken away, if its row tells.
+    std::optional<instant> leavesAt;
     /// The process ran at this time: it answered a call that was sent then, or its row shows a later
     /// heartbeat.
     instant aliveAt{};
@@ -684,6 +686,46 @@
     std::map<duty_subject, duty_progress> calls;
 };
 
+/// Last call that ordered upstreams of a pool.
+struct sent_order
+{
+    unsigned count = 0;
+    instant sentAt{};
+};
+
+/// A service whose number of upstreams this process decides while it holds the duties.
+struct scaled_service
+{
+    scaling_memory memory;
+    /// Orders that were decided; calls follow those of the committed record.
+    std::map<upstream_pool, unsigned> orders;
+    std::map<upstream_pool, sent_order> sent;
+    /// Supply at the last decision.
+    std::map<upstream_pool, pool_supply> supply;
+    /// Last known rate of one run.
+    double tokensPerMs = 0;
+    scaling_decision last;
+    instant loggedAt{};
+};
+
+/// Slots that calls and streams of this daemon use at a service: the most since `since`.
+struct call_peak
+{
+    std::uint64_t slots = 0;
+    instant since{};
+};
+
+struct scaling_state
+{
+    /// Work of batches, as last told by their owners.
+    std::map<batch_id, batch_work> work;
+    std::map<service_id, call_peak> callPeaks;
+    /// Since when this process has held the duties.
+    std::optional<instant> heldSince;
+    instant nextDecisionAt{};
+    std::map<service_id, scaled_service> services;
+};
+
 // Purposes of running operations.
 
 struct feed_operation
@@ -855,6 +897,7 @@
     std::map<item_id, retained_output> retainedOutputs;
     weights_leader weightsLeader;
     duty_state duties;
+    scaling_state scaling;
 
     std::uint64_t ownRowVersion = 0;
     std::uint64_t heartbeatCount = 0;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -605,6 +605,13 @@
     double value = 0;
 };
 
+/// Sets a value of /metrics that goes up and down.
+struct gauge
+{
+    std::string name;
+    double value = 0;
+};
+
 struct end_process
 {};
 
@@ -614,7 +621,7 @@
                        end_stream, share_stream_origin, find_stream_origin, answer_stream_origin, cancel_call,
                        request_upstream_status, order_weights, call_duty, answer_call, refuse_call,
                        accept_batch, answer_page, answer_item, answer_batch_ended, set_readiness, set_relays,
-                       log_decision, count, observe, end_process>;
+                       log_decision, count, observe, gauge, end_process>;
 
 using effects = std::vector<effect>;
 
--- a/src/node_advisories.cpp
+++ b/src/node_advisories.cpp
@@ -26,6 +26,9 @@
     if (updateOwnLimits(s)) {
         state.advisoryPublication.changed = true;
     }
+    if (updateOwnWork(s)) {
+        state.advisoryPublication.changed = true;
+    }
     state.advisoryUrgent = false;
     if (beginPublication(state.advisoryPublication)) {
         rows.push_back({table_id::daemons, advisoryKey(state.self.host), encodeAdvisory(state.ownAdvisory)});
@@ -70,6 +73,7 @@
         }
     }
     known = *std::move(advisory);
+    recordToldWork(s, known.scaling);
     if (!sameSuspicions) {
         updateSuspectedContents(s);
     }
--- a/src/node_duties.cpp
+++ b/src/node_duties.cpp
@@ -197,6 +197,7 @@
     if (isDutyHolder(s)) {
         reportUsage(s);
     }
+    decideNumbersOfUpstreams(s);
     if (duties.lease.op.value != 0) {
         return;
     }
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -203,6 +203,17 @@
     feed.seenKeys.clear();
 }
 
+/// A row tells the time left as of its write; of several rows the one that names the earliest time holds.
+void updateLeaveTime(upstream_view &view, const upstream_entry &entry, instant now)
+{
+    if (!entry.draining || entry.leavesInMs == 0) {
+        view.leavesAt.reset();
+        return;
+    }
+    const instant leavesAt = now + milliseconds{static_cast<std::int64_t>(entry.leavesInMs)};
+    view.leavesAt = std::min(leavesAt, view.leavesAt.value_or(leavesAt));
+}
+
 } // namespace
 
 void onUpstreamRow(step &s, const row_change &change)
@@ -223,6 +234,7 @@
     if (found == s.state.upstreams.end()) {
         upstream_view &view = s.state.upstreams[id];
         view.entry = *entry;
+        updateLeaveTime(view, *entry, s.ctx.now);
         updateLastRow(view, *entry, change.row.version);
         recordBuildListed(s, buildOf(*entry));
         s.log("upstream-discovered", id.value, toString(entry->address) + ", " + toString(buildOf(*entry)));
@@ -252,6 +264,7 @@
     if (!view.entry.draining && entry->draining) {
         s.log("upstream-draining", id.value);
     }
+    updateLeaveTime(view, *entry, s.ctx.now);
     // The row may be older than the versions that the weights leader reported.
     const auto reported = std::move(view.entry.weights);
     view.entry = *entry;
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -36,9 +36,6 @@
 /// where its heartbeats are not read, as in large fleets.
 constexpr milliseconds kMaxUnconfirmedTime{5000};
 
-/// Inter-chunk latency if none has been measured: 61 tokens per chunk at 0.7 ms per token.
-constexpr double kDefaultInterChunkLatencyMs = 43;
-
 /// Items shorter than this share of their maximum length go to slower upstreams first, but not to those whose
 /// latency is kDegradedLatencyFactor times the median or more: fast upstreams stay free for the long items
 /// that determine the duration of a step.
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -5,6 +5,9 @@
 
 namespace jacinthvale::node {
 
+/// Inter-chunk latency if none has been measured: 61 tokens per chunk at 0.7 ms per token.
+inline constexpr double kDefaultInterChunkLatencyMs = 43;
+
 /// Amount of work of each model; only ratios matter.
 using model_work = std::map<model_id, double>;
 
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -50,6 +50,10 @@
 /// only when another run ends, a second or more later.
 constexpr milliseconds kStallTimeout{400};
 
+/// A run moves away from an upstream that is about to be taken away unless it is expected to end this long
+/// before: the table tells the time some hundred ms late.
+constexpr milliseconds kLeaveMargin{1000};
+
 /// Time between two searches for runs to move.
 constexpr milliseconds kMoveCheckInterval{100};
 
@@ -416,6 +420,70 @@
     return isWorthMoving ? target : std::nullopt;
 }
 
+/// Stops a run and starts it again at another upstream, after its last chunk.
+void moveRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
+{
+    owned_item &item = batch.items[index];
+    s.log("run-moved", item.item.id.value,
+          item.upstream.value + " to " + target.value + " after chunk " + std::to_string(item.chunkCount));
+    s.emit(count{"runs_moved"});
+    ++item.moveCount;
+    stopRun(s, item);
+    startRun(s, batch, index, target, latestStart);
+}
+
+/// Moves the runs that won't end before their upstream is taken away, the longest first.
+void leaveReclaimed(step &s, service_snapshot_cache &snapshots)
+{
+    struct leaving_run
+    {
+        double remainingChunks;
+        owned_batch *batch;
+        std::size_t index;
+        const route *matchedRoute;
+        service_id service;
+    };
+    std::vector<leaving_run> runs;
+    for (auto &[id, batch] : s.state.owned) {
+        const route *matchedRoute = findRoute(s.state.config, batch.spec.host, batch.spec.path);
+        if (matchedRoute == nullptr || batch.handingOver) {
+            continue;
+        }
+        for (std::size_t index = 0; index < batch.items.size(); ++index) {
+            const owned_item &item = batch.items[index];
+            const auto view = s.state.upstreams.find(item.upstream);
+            if (item.phase != item_phase::running || view == s.state.upstreams.end()
+                || !view->second.leavesAt) {
+                continue;
+            }
+            const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
+            const double chunks = expectedRemainingChunks(s.state, service, item);
+            const double median = snapshots.get(service).medianInterChunkLatencyMs;
+            const double endMs
+                    = chunks
+                      * interChunkLatencyOf(view->second, median > 0 ? median : kDefaultInterChunkLatencyMs,
+                                            s.ctx.now);
+            if (endMs > static_cast<double>((*view->second.leavesAt - s.ctx.now - kLeaveMargin).count())) {
+                runs.push_back({chunks, &batch, index, matchedRoute, service});
+            }
+        }
+    }
+    std::ranges::sort(runs, std::greater<>{}, &leaving_run::remainingChunks);
+    for (const leaving_run &run : runs) {
+        const owned_item &item = run.batch->items[run.index];
+        const service_snapshot &snapshot = snapshots.get(run.service);
+        placement_request request{run.service, run.batch->spec.model, run.batch->spec.minVersion, &snapshot,
+                                  expectedTokens(s.state, run.service, item)};
+        request.build = item.chunkCount > 0 ? &item.build : nullptr;
+        if (const auto target = placeRun(s.state, request, s.ctx.now)) {
+            s.emit(count{"runs_moved_before_reclaim_total"});
+            moveRun(s, *run.batch, run.index, *target,
+                    latestStartMs(s.state, *run.batch, item, *run.matchedRoute, run.service,
+                                  snapshot.medianInterChunkLatencyMs));
+        }
+    }
+}
+
 } // namespace
 
 void moveStragglers(step &s)
@@ -426,6 +494,10 @@
     }
     state.nextMoveAt = s.ctx.now + kMoveCheckInterval;
     service_snapshot_cache snapshots(state, s.ctx.now);
+    if (std::ranges::any_of(state.upstreams,
+                            [](const auto &entry) { return entry.second.leavesAt.has_value(); })) {
+        leaveReclaimed(s, snapshots);
+    }
     for (auto &[id, batch] : state.owned) {
         const route *matchedRoute = findRoute(state.config, batch.spec.host, batch.spec.path);
         if (matchedRoute == nullptr || batch.handingOver) {
@@ -453,15 +525,9 @@
             if (!target) {
                 continue;
             }
-            s.log("run-moved", item.item.id.value,
-                  item.upstream.value + " to " + target->value + " after chunk "
-                          + std::to_string(item.chunkCount));
-            s.emit(count{"runs_moved"});
-            ++item.moveCount;
-            stopRun(s, item);
-            startRun(s, batch, index, *target,
-                     latestStartMs(state, batch, item, *matchedRoute, service,
-                                   snapshots.get(service).medianInterChunkLatencyMs));
+            moveRun(s, batch, index, *target,
+                    latestStartMs(state, batch, item, *matchedRoute, service,
+                                  snapshots.get(service).medianInterChunkLatencyMs));
         }
     }
 }
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -311,6 +311,7 @@
     void operator()(const log_decision &entry) const { self.writeLog(entry); }
     void operator()(const count &counted) const { self.m_metrics.count(counted.name, counted.amount); }
     void operator()(const observe &observed) const { self.m_metrics.observe(observed.name, observed.value); }
+    void operator()(const gauge &set) const { self.m_metrics.setGauge(set.name, set.value); }
     void operator()(const end_process &) const { self.exitWhenDrained(); }
 };
 
--- a/src/node_scaling_decision.cpp
+++ b/src/node_scaling_decision.cpp
@@ -189,7 +189,7 @@
     }
     slot_need need;
     need.total = static_cast<double>(input.callSlots);
-    need.fewestSteps = steps.empty() ? kStepsBeforeLowering : kRememberedSteps;
+    need.fewestSteps = steps.empty() ? 0 : kRememberedSteps;
     for (auto &[trainer, ofTrainer] : steps) {
         ranges::sort(ofTrainer, std::greater<>{}, &trainer_step::acceptedAtMs);
         const double open = slotsOfOpenSteps(input, ofTrainer);
@@ -207,9 +207,8 @@
 /// Upstreams that are left when the `zones` largest groups of reclaimable ones are gone.
 unsigned leftAfterReclaims(const pool_counts &counts, std::size_t zones)
 {
-    auto reclaimable = counts | ranges::views::filter([](const auto &entry) {
-                           return entry.first.reclaimable;
-                       })
+    auto reclaimable = counts
+                       | ranges::views::filter([](const auto &entry) { return entry.first.reclaimable; })
                        | ranges::views::values | ranges::to<std::vector<unsigned>>();
     ranges::sort(reclaimable, std::greater<>{});
     reclaimable.resize(std::min(zones, reclaimable.size()));
@@ -240,10 +239,9 @@
     {
         bool added = true;
         while (added && !isEnough(m_counts)) {
-            added = ranges::count_if(pools,
-                                     [&](const upstream_pool &pool) {
-                                         return !isEnough(m_counts) && add(pool);
-                                     })
+            added = ranges::count_if(
+                            pools,
+                            [&](const upstream_pool &pool) { return !isEnough(m_counts) && add(pool); })
                     > 0;
         }
     }
@@ -273,9 +271,8 @@
             pools.push_back(pool);
         }
     }
-    ranges::sort(pools, {}, [&](const upstream_pool &pool) {
-        return std::pair(priceOf(input.limits, pool), pool);
-    });
+    ranges::sort(pools, {},
+                 [&](const upstream_pool &pool) { return std::pair(priceOf(input.limits, pool), pool); });
     return pools;
 }
 
@@ -285,13 +282,11 @@
                    const std::vector<upstream_pool> &reclaimable, unsigned needed)
 {
     pool_plan plan(input.limits, {});
-    const std::vector<upstream_pool> cheapest(base.begin(),
-                                              base.begin()
-                                                      + static_cast<std::ptrdiff_t>(std::min<std::size_t>(
-                                                              2, base.size())));
+    const std::vector<upstream_pool> cheapest(
+            base.begin(), base.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(2, base.size())));
     if (reclaimable.size() > 1) {
-        // With k zones, b others and r = (needed - b) / (k - 1) reclaimable ones in each of them, b + (k - 2) r
-        // remain after two reclaims.
+        // With k zones, b others and r = (needed - b) / (k - 1) reclaimable ones in each of them, b + (k - 2)
+        // r remain after two reclaims.
         const auto zones = static_cast<double>(reclaimable.size());
         const double share = (kShareAfterTwoReclaims * (zones - 1) - (zones - 2));
         const auto others = static_cast<unsigned>(std::ceil(std::max(0.0, share) * needed));
@@ -299,7 +294,8 @@
         plan.addUntil(reclaimable,
                       [&](const pool_counts &counts) { return leftAfterReclaims(counts, 1) >= needed; });
     }
-    plan.addUntil(cheapest, [&](const pool_counts &counts) { return leftAfterReclaims(counts, 1) >= needed; });
+    plan.addUntil(cheapest,
+                  [&](const pool_counts &counts) { return leftAfterReclaims(counts, 1) >= needed; });
     plan.addUntil(base, [&](const pool_counts &counts) { return leftAfterReclaims(counts, 1) >= needed; });
     // Where the others do not suffice, more that may be reclaimed are better than too few.
     plan.addUntil(reclaimable, [&](const pool_counts &counts) { return sumOf(counts) >= needed; });
@@ -319,8 +315,8 @@
     pool_plan best = planWith(input, base, {}, needed);
     for (std::size_t zones = 1; zones <= reclaimable.size(); ++zones) {
         pool_plan plan = planWith(
-                input, base,
-                {reclaimable.begin(), reclaimable.begin() + static_cast<std::ptrdiff_t>(zones)}, needed);
+                input, base, {reclaimable.begin(), reclaimable.begin() + static_cast<std::ptrdiff_t>(zones)},
+                needed);
         if (rank(plan) < rank(best)) {
             best = std::move(plan);
         }
@@ -343,8 +339,11 @@
     for (const availability_zone_id &zone : zonesOf(input)) {
         const upstream_pool pool{zone, true};
         const pool_supply supply = supplyOf(input, pool);
+        // A holder that has just started sees only that they leave.
+        const bool didServe
+                = memory.pools.contains(pool) ? memory.pools[pool].served > 0 : supply.leaving > 0;
         pool_memory &known = memory.pools[pool];
-        if ((known.served > 0 || supply.leaving > 0) && supply.serving == 0 && orderedIn(input, pool) > 0) {
+        if (didServe && supply.serving == 0 && orderedIn(input, pool) > 0) {
             const std::uint64_t avoidance
                     = std::min(kMaxReclaimAvoidanceMs, kReclaimAvoidanceMs << std::min(known.reclaims, 5U));
             known.avoidedUntilMs = std::max(known.avoidedUntilMs, input.nowMs + avoidance);
@@ -392,17 +391,17 @@
                  [&](const upstream_pool &pool) { return std::pair(priceOf(input.limits, pool), pool); });
     for (const upstream_pool &pool : pools) {
         const auto known = memory.pools.find(pool);
-        const bool isNew = known != memory.pools.end() && known->second.raisedAtMs > 0
-                           && input.nowMs < known->second.raisedAtMs
-                                                    + kMinBootTimesKept
-                                                              * static_cast<std::uint64_t>(
-                                                                      input.limits.boot.count());
+        const bool isNew
+                = known != memory.pools.end() && known->second.raisedAtMs > 0
+                  && input.nowMs < known->second.raisedAtMs
+                                           + kMinBootTimesKept
+                                                     * static_cast<std::uint64_t>(input.limits.boot.count());
         unsigned &order = orders[pool];
         const unsigned surplus = order - std::min(order, countOf(plan, pool));
         const unsigned inZone = sumInZone(orders, pool.zone);
         const unsigned aboveMinimum = inZone - std::min(inZone, input.limits.minimum);
-        const auto lowered = static_cast<unsigned>(
-                std::min<std::uint64_t>({surplus, aboveMinimum, isNew ? 0 : spare}));
+        const auto lowered
+                = static_cast<unsigned>(std::min<std::uint64_t>({surplus, aboveMinimum, isNew ? 0 : spare}));
         order -= lowered;
         spare -= lowered;
     }
@@ -435,9 +434,8 @@
     decision.openSlots = need.open;
     decision.expectedSlots = need.expected;
     const auto zones = static_cast<unsigned>(zonesOf(input).size());
-    const double upstreams
-            = std::min<double>(std::ceil(need.total / std::max(1U, input.slotsPerUpstream)),
-                               static_cast<double>(input.limits.maximum) * zones);
+    const double upstreams = std::min<double>(std::ceil(need.total / std::max(1U, input.slotsPerUpstream)),
+                                              static_cast<double>(input.limits.maximum) * zones);
     const auto needed = std::max(1U, static_cast<unsigned>(upstreams));
     const bool isFalling = needed < kLowerBelowShare * memory.needed;
     decision.needed = isFalling ? needed : std::max(needed, memory.needed);
@@ -453,13 +451,12 @@
     if (mayLower) {
         lowerOrders(input, plan, decision.orders, decision.memory);
     }
-    decision.reason = !reclaimed.empty()                       ? "a zone was reclaimed"
-                      : !isKnown                               ? "no work is known yet"
-                      : sumOf(decision.orders) > sumOf(before) ? "more are needed"
-                      : decision.orders != before              ? "others replace them, or fewer are needed"
-                      : !mayLower && sumOf(plan) < sumOf(before)
-                              ? "too few steps were seen to give up any"
-                              : "unchanged";
+    decision.reason = !reclaimed.empty()                         ? "a zone was reclaimed"
+                      : !isKnown                                 ? "no work is known yet"
+                      : sumOf(decision.orders) > sumOf(before)   ? "more are needed"
+                      : decision.orders != before                ? "others replace them, or fewer are needed"
+                      : !mayLower && sumOf(plan) < sumOf(before) ? "too few steps were seen to give up any"
+                                                                 : "unchanged";
     return decision;
 }
 
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -368,6 +368,12 @@
 void onUsageReported(step &s, const usage_report &report, const call_ended &ended);
 
 // Number of upstreams (node_scaling.cpp).
+/// Sets the work in the own advisory. @returns true if the other daemons need it now.
+bool updateOwnWork(step &s);
+/// Remembers the work that a daemon told.
+void recordToldWork(step &s, const scaling_advisory &advisory);
+/// Decides and orders the numbers of upstreams, if this process holds the duties.
+void decideNumbersOfUpstreams(step &s);
 void onUpstreamsOrdered(step &s, const upstream_order &order, const call_ended &ended);
 
 /// Drops the order to load weights on an upstream, if there is one.
