--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -6,6 +6,7 @@
 /// batch; every later write for the batch is conditional on that row.
 #pragma once
 
+#include <jacinthvale/node_currency.h>
 #include <jacinthvale/node_event.h>
 #include <jacinthvale/node_leases.h>
 #include <jacinthvale/node_scaling.h>
@@ -394,6 +395,8 @@
     /// The read in progress; 0 if none.
     op_id readOp;
     instant readSentAt{};
+    /// The read in progress, or the first one of a full read. Only for the operators' table.
+    operators_reading reading;
     /// Changes that the next read from the store returns were written later than this.
     instant snapshotAt{};
     instant nextAt{};
@@ -407,6 +410,8 @@
 {
     exchange_id exchange;
     batch_id batch;
+    /// Account of the reader.
+    account_id account;
     std::size_t after = 0;
     instant until{};
     instant nextAt{};
@@ -468,6 +473,8 @@
     /// Answers that report a failed run; for a reward call, including earlier rounds.
     unsigned failures = 0;
     instant nextTryAt{};
+    /// Window of usage in which the request counts; nullopt if it does not count.
+    std::optional<std::uint64_t> usageWindow;
 };
 
 /// A stream that is forwarded to a caller.
@@ -516,6 +523,8 @@
     bool begun = false;
     /// The upstream has ended the stream with success.
     bool complete = false;
+    /// The request counts as usage.
+    bool isCounted = false;
     /// Bytes that wait for the release.
     std::string held;
 };
@@ -756,6 +765,7 @@
 {
     batch_id batch;
     exchange_id exchange;
+    account_id account;
     bool readingHead = false;
 };
 struct page_operation
@@ -768,6 +778,7 @@
     exchange_id exchange;
     batch_id batch;
     item_id item;
+    account_id account;
     std::string bytes;
     bool readingHead = false;
 };
@@ -857,6 +868,8 @@
     std::vector<table_feed> feeds;
     bool configKnown = false;
     route_table config;
+    configuration_evidence evidence;
+    store_clock_bound storeClock;
     std::map<model_id, weight_version> namedVersions;
     std::map<model_id, version_pace> versionPaces;
     std::map<upstream_id, upstream_view> upstreams;
@@ -898,6 +911,7 @@
     weights_leader weightsLeader;
     duty_state duties;
     scaling_state scaling;
+    usage_state usage;
 
     std::uint64_t ownRowVersion = 0;
     std::uint64_t heartbeatCount = 0;
