--- a/src/node_scaling.cpp
+++ b/src/node_scaling.cpp
@@ -252,10 +252,6 @@
     }
     scaled.loggedAt = s.ctx.now;
     s.log("upstreams-decided", service.value, describe(input, decision));
-    const std::string label = "{service=\"" + service.value + "\"}";
-    s.emit(gauge{"upstreams_needed" + label, static_cast<double>(decision.needed)});
-    s.emit(gauge{"upstreams_ordered" + label,
-                 static_cast<double>(ranges::accumulate(decision.orders | ranges::views::values, 0U))});
 }
 
 /// Puts the orders that differ from what the record holds into the record.
@@ -323,6 +319,10 @@
         }
     }
     logDecision(s, service, scaled, input, decision);
+    const std::string label = "{service=\"" + service.value + "\"}";
+    s.emit(gauge{"upstreams_needed" + label, static_cast<double>(decision.needed)});
+    s.emit(gauge{"upstreams_ordered" + label,
+                 static_cast<double>(ranges::accumulate(decision.orders | ranges::views::values, 0U))});
     scaled.last = decision;
     scaled.supply = input.supply;
     recordOrders(s, service, scaled);
--- a/src/node_scaling_decision.cpp
+++ b/src/node_scaling_decision.cpp
@@ -22,7 +22,7 @@
 
 /// Share of the time until a step is due in which its work shall pass through the slots; the rest is left for
 /// its longest item, which runs alone at the end.
-constexpr double kQueueShare = 0.4;
+constexpr double kQueueShare = 0.6;
 
 /// Shortest time in which work that is late, or nearly so, is planned to pass.
 constexpr double kMinWindowMs = 500;
@@ -36,6 +36,9 @@
 /// A trainer without a new step for this many times the time in which its steps are due has stopped.
 constexpr std::uint64_t kStoppedAfterDueTimes = 5;
 
+/// The need is rounded up to steps of this part of it, so that small changes of the load order nothing.
+constexpr unsigned kNeedStepPart = 8;
+
 /// The number is lowered only if the need has fallen below this share of the one before, so that it doesn't
 /// follow small changes of the load.
 constexpr double kLowerBelowShare = 0.85;
@@ -436,7 +439,9 @@
     const auto zones = static_cast<unsigned>(zonesOf(input).size());
     const double upstreams = std::min<double>(std::ceil(need.total / std::max(1U, input.slotsPerUpstream)),
                                               static_cast<double>(input.limits.maximum) * zones);
-    const auto needed = std::max(1U, static_cast<unsigned>(upstreams));
+    const auto exact = std::max(1U, static_cast<unsigned>(upstreams));
+    const unsigned step = std::max(1U, exact / kNeedStepPart);
+    const unsigned needed = (exact + step - 1) / step * step;
     const bool isFalling = needed < kLowerBelowShare * memory.needed;
     decision.needed = isFalling ? needed : std::max(needed, memory.needed);
     decision.memory.needed = decision.needed;
--- a/tests/test_node_scaling.cpp
+++ b/tests/test_node_scaling.cpp
@@ -1,4 +1,6 @@
 // Number of upstreams. "Pattern" names the load that a test covers.
+#include "node_simulation.h"
+
 #include <jacinthvale/node_scaling.h>
 
 #include <cmath>
@@ -308,4 +310,27 @@
                 needed, fixed.price);
 }
 
+TEST(node_scaling, runsLeaveAReclaimedUpstreamBeforeItGoes)
+{
+    // Pattern: long items run at an upstream that is reclaimed with a notice of 2.5 s.
+    test::node_simulation simulation(1);
+    simulation.run(milliseconds{1500});
+    const batch submitted = test::node_simulation::makeBatch("b", "m0", 1, std::vector<unsigned>(12, 120));
+    simulation.submitBatch(0, submitted);
+    ASSERT_TRUE(simulation.runUntil(
+            [&] { return simulation.upstream(0).running > 0 || simulation.upstream(1).running > 0; },
+            milliseconds{3000}));
+    simulation.run(milliseconds{300});
+    const std::size_t reclaimed = simulation.upstream(0).running > 0 ? 0 : 1;
+    simulation.upstream(reclaimed).entry.reclaimable = true;
+    simulation.upstream(reclaimed).entry.draining = true;
+    simulation.upstream(reclaimed).entry.leavesInMs = 2500;
+    simulation.run(milliseconds{2500});
+    EXPECT_EQ(simulation.upstream(reclaimed).running, 0U);
+    simulation.crashUpstream(reclaimed);
+    EXPECT_TRUE(
+            simulation.runUntil([&] { return simulation.allCommitted(submitted); }, milliseconds{20'000}));
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
 } // namespace jacinthvale
