Runs go to upstreams that hold their prompt, and reading a prompt has a cost

Change: items carry the parts of their prompt; each upstream view records the parts that runs of this process had read there, least recently used first, dropped by a load of weights or a restart. The cost of a placement counts the time that reading takes for the run and for those beside it. An item that has time goes to an upstream that holds its prompt, or waits for one. Equal prompts that are nowhere held add the same cost everywhere.

Not measured yet.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <jacinthvale/node_event.h>
+#include <jacinthvale/node_prefixes.h>
 #include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
 #include <jacinthvale/node_usage.h>
@@ -128,6 +129,8 @@
     std::uint64_t chunkCountAtStart = 0;
     /// Tokens reserved at the upstream for this run.
     double reservedTokens = 0;
+    /// Prompt tokens that the upstream reads for this run; 0 after its first chunk.
+    double readingTokens = 0;
     /// The item belongs to a group that the trainer does not wait for.
     bool isSurplus = false;
     /// Score of `text`; empty until the reward call succeeded.
@@ -320,6 +323,10 @@
     unsigned running = 0;
     /// Tokens reserved for the generations that this process runs there.
     double reservedTokens = 0;
+    /// Prompt tokens of the runs of this process there that have produced no chunk yet.
+    double readingTokens = 0;
+    /// Prompt parts that this process had read there.
+    held_prompts heldPrompts;
     unsigned consecutiveFailures = 0;
     /// No new work is sent before this time.
     instant ejectedUntil{};
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -217,6 +217,15 @@
     }
 };
 
+/// Part of a prompt. Prompts that begin with the same parts share what an upstream reads for them.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    unsigned tokens = 0;
+
+    auto operator<=>(const prompt_part &) const = default;
+};
+
 /// One generation of a batch. Headers and body are forwarded unchanged.
 struct batch_item
 {
@@ -231,6 +240,9 @@
     unsigned expectedOutput = 0;
     /// Tokens of the prompt; 0 if unknown.
     unsigned promptTokens = 0;
+    /// Parts of the prompt in order; the last one belongs to this item alone. Empty if the client named none,
+    /// and after a takeover of the batch.
+    std::vector<prompt_part> promptParts = {};
     /// The item succeeds only with the score that this call returns.
     std::optional<reward_call> reward;
 
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -45,6 +45,14 @@
 constexpr double kShortItemShare = 0.3;
 constexpr double kDegradedLatencyFactor = 1.5;
 
+/// Speed at which upstreams read prompts.
+constexpr double kReadTokensPerMs = 250;
+
+/// An item waits for an upstream that holds its prompt as long as its batch takes this many times as long as
+/// the item, and this time in ms more.
+constexpr double kHolderWaitFactor = 2;
+constexpr double kHolderWaitReserveMs = 500;
+
 /// Cost factor of an upstream whose memory cannot hold all its runs: it preempts one of them and later has to
 /// read the tokens of that run again.
 constexpr double kOutOfMemoryCostFactor = 2.5;
@@ -288,42 +296,112 @@
     });
 }
 
-std::optional<upstream_id> placeRun(const node_state &state, const placement_request &request, instant now)
+double readingCostMs(const upstream_view &view, const shared_prompt &prompt, double promptTokens)
+{
+    const double own = std::max(0.0, promptTokens - view.heldPrompts.tokensHeld(prompt, view.entry.weights));
+    return (view.readingTokens + own + own * view.running) / kReadTokensPerMs;
+}
+
+bool canWaitForHolder(double runMs, double batchMs)
+{
+    return batchMs > kHolderWaitFactor * runMs + kHolderWaitReserveMs;
+}
+
+namespace {
+
+bool canTakeRun(const node_state &state, const upstream_view &view, const placement_request &request,
+                instant now)
+{
+    return isUsable(state, view, request.service, now) && versionOf(view, request.model) >= request.minVersion
+           && !isLoading(state, view.entry.id, now)
+           && (!request.requireFreshLatency || isLatencyFresh(view, now))
+           && (!request.avoidLimited || view.limit.perSecond <= 0)
+           && (request.build == nullptr || canContinue(view, *request.build, now));
+}
+
+double relativeLatencyOf(const upstream_view &view, double median, instant now)
+{
+    return median > 0 ? interChunkLatencyOf(view, median, now) / median : 1.0;
+}
+
+/// @returns the cost of a run as a multiple of its time on an empty upstream of median latency; none if it
+/// needs more memory than the upstream has left.
+std::optional<double> placementCost(const node_state &state, const upstream_view &view,
+                                    const placement_request &request, instant now)
 {
-    const double median = request.snapshot->medianInterChunkLatencyMs;
     const auto limits = state.config.engines.find(request.service);
     const double memory = limits == state.config.engines.end() ? 0 : limits->second.memoryTokens;
+    const double loadFactor = kFullLoadCost * view.running / std::max(1U, view.entry.slots);
+    const double relativeLatency = relativeLatencyOf(view, request.snapshot->medianInterChunkLatencyMs, now);
+    double cost = (request.isShort && relativeLatency < kDegradedLatencyFactor ? 1.0 / relativeLatency
+                                                                               : relativeLatency)
+                  * (1.0 + loadFactor);
+    if (view.entry.zone != state.self.availabilityZone) {
+        cost *= kCrossZoneCostFactor;
+    }
+    if (request.prompt != nullptr && request.outputMs > 0) {
+        cost += readingCostMs(view, *request.prompt, request.promptTokens) / request.outputMs;
+    }
+    if (memory > 0 && view.running > 0 && view.reservedTokens + request.tokens > memory) {
+        if (request.requireMemory) {
+            return std::nullopt;
+        }
+        cost *= kOutOfMemoryCostFactor;
+    }
+    return cost;
+}
+
+} // namespace
+
+placement placeAtHolder(const node_state &state, const placement_request &request, instant now)
+{
+    const double median = request.snapshot->medianInterChunkLatencyMs;
+    std::size_t holders = 0;
+    unsigned slots = 0;
+    std::optional<upstream_id> best;
+    double bestCost = 0;
+    for (const auto &[id, view] : state.upstreams) {
+        const double runMs = request.outputMs * relativeLatencyOf(view, median, now);
+        if (!canTakeRun(state, view, request, now) || !canWaitForHolder(runMs, request.batchMs)
+            || 2 * view.heldPrompts.tokensHeld(*request.prompt, view.entry.weights)
+                       < request.prompt->tokens()) {
+            continue;
+        }
+        ++holders;
+        slots = std::max(slots, view.entry.slots);
+        const auto cost = placementCost(state, view, request, now);
+        if (view.running < view.entry.slots && cost && (!best || *cost < bestCost)) {
+            best = id;
+            bestCost = *cost;
+        }
+    }
+    if (best) {
+        return *best;
+    }
+    if (holders > 0 && holders >= upstreamsForGroup(request.groupItems, slots)) {
+        return wait_for_holder{};
+    }
+    return std::monostate{};
+}
+
+std::optional<upstream_id> placeRun(const node_state &state, const placement_request &request, instant now)
+{
     std::optional<upstream_id> best;
     double bestCost = 0;
     bool bestIsAssigned = false;
     for (const auto &[id, view] : state.upstreams) {
-        if (!isUsable(state, view, request.service, now)
-            || versionOf(view, request.model) < request.minVersion || view.running >= view.entry.slots
-            || isLoading(state, id, now) || (request.requireFreshLatency && !isLatencyFresh(view, now))
-            || (request.avoidLimited && view.limit.perSecond > 0)
-            || (request.build != nullptr && !canContinue(view, *request.build, now))) {
+        if (!canTakeRun(state, view, request, now) || view.running >= view.entry.slots) {
             continue;
         }
         const auto assigned = request.snapshot->assignment.find(id);
         const bool isAssigned
                 = assigned != request.snapshot->assignment.end() && assigned->second == request.model;
-        const double loadFactor = kFullLoadCost * view.running / std::max(1U, view.entry.slots);
-        const double relativeLatency = median > 0 ? interChunkLatencyOf(view, median, now) / median : 1.0;
-        double cost = (request.isShort && relativeLatency < kDegradedLatencyFactor ? 1.0 / relativeLatency
-                                                                                   : relativeLatency)
-                      * (1.0 + loadFactor);
-        if (view.entry.zone != state.self.availabilityZone) {
-            cost *= kCrossZoneCostFactor;
-        }
-        if (memory > 0 && view.running > 0 && view.reservedTokens + request.tokens > memory) {
-            if (request.requireMemory) {
-                continue;
-            }
-            cost *= kOutOfMemoryCostFactor;
-        }
-        if (!best || (isAssigned && !bestIsAssigned) || (isAssigned == bestIsAssigned && cost < bestCost)) {
+        const auto cost = placementCost(state, view, request, now);
+        if (cost
+            && (!best || (isAssigned && !bestIsAssigned)
+                || (isAssigned == bestIsAssigned && *cost < bestCost))) {
             best = id;
-            bestCost = cost;
+            bestCost = *cost;
             bestIsAssigned = isAssigned;
         }
     }
@@ -361,6 +439,13 @@
     return std::min(maximum, std::max(estimated, kMinRemainingShare * received));
 }
 
+double expectedOutputMs(const node_state &state, const service_id &service, const owned_item &item,
+                        double medianInterChunkLatencyMs)
+{
+    return expectedRemainingChunks(state, service, item)
+           * (medianInterChunkLatencyMs > 0 ? medianInterChunkLatencyMs : kDefaultInterChunkLatencyMs);
+}
+
 milliseconds regenerationTime(const owned_item &item, double medianInterChunkLatencyMs)
 {
     const double latencyMs
@@ -426,9 +511,7 @@
 double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
                      const route &matchedRoute, const service_id &service, double medianInterChunkLatencyMs)
 {
-    const double generation
-            = expectedRemainingChunks(state, service, item)
-              * (medianInterChunkLatencyMs > 0 ? medianInterChunkLatencyMs : kDefaultInterChunkLatencyMs);
+    const double generation = expectedOutputMs(state, service, item, medianInterChunkLatencyMs);
     const double work
             = generation + (item.item.reward ? expectedRewardDuration(state, *item.item.reward) : 0);
     const auto due = static_cast<double>(matchedRoute.due.count());
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -88,8 +88,34 @@
     bool avoidLimited = false;
     /// Select only upstreams that can continue output of this build; nullptr if there is no output yet.
     const upstream_build *build = nullptr;
+    /// What the prompt shares with other items; nullptr if its reading is not to be counted.
+    const shared_prompt *prompt = nullptr;
+    double promptTokens = 0;
+    /// Expected time of the output on an upstream of median latency, and of the batch until its last item
+    /// ends.
+    double outputMs = 0;
+    double batchMs = 0;
+    /// Incomplete items with this prompt.
+    std::size_t groupItems = 0;
 };
 
+/// @returns the time in ms for which reading a prompt at an upstream delays its run and the others there: its
+/// tokens beyond those that the upstream holds, after those that it reads already.
+double readingCostMs(const upstream_view &view, const shared_prompt &prompt, double promptTokens);
+
+/// The item waits for a slot of the upstreams that hold its prompt.
+struct wait_for_holder
+{
+    bool operator==(const wait_for_holder &) const = default;
+};
+
+/// Result of a placement; std::monostate if the run starts wherever it ends first.
+using placement = std::variant<std::monostate, wait_for_holder, upstream_id>;
+
+/// @returns an upstream that holds the prompt; wait_for_holder if all of those are full, but they are enough
+/// for the group. Considers only upstreams where the run can wait without delaying its batch.
+placement placeAtHolder(const node_state &state, const placement_request &request, instant now);
+
 /// @returns the upstream for a generation, with weights of at least the requested version; none if all are
 /// full.
 std::optional<upstream_id> placeRun(const node_state &state, const placement_request &request, instant now);
@@ -111,6 +137,10 @@
 /// far.
 double expectedRemainingChunks(const node_state &state, const service_id &service, const owned_item &item);
 
+/// @returns the expected time of the rest of an item's output, in ms, on an upstream of median latency.
+double expectedOutputMs(const node_state &state, const service_id &service, const owned_item &item,
+                        double medianInterChunkLatencyMs);
+
 /// @returns the time in which the text so far could be generated again.
 milliseconds regenerationTime(const owned_item &item, double medianInterChunkLatencyMs);
 
@@ -144,6 +174,11 @@
 double latestStartMs(const node_state &state, const owned_batch &batch, const owned_item &item,
                      const route &matchedRoute, const service_id &service, double medianInterChunkLatencyMs);
 
+/// True if an item can start later without delaying its batch, also if its estimate is far too low.
+/// @param runMs expected time of its run.
+/// @param batchMs expected time until the last item of the batch ends.
+bool canWaitForHolder(double runMs, double batchMs);
+
 /// @returns the urgency of a run at its upstream, from 0 (most urgent) to 9.
 /// @param slackMs time until the latest start of the item.
 unsigned urgencyOf(double slackMs, bool isSurplus);
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -91,9 +91,19 @@
     }
 }
 
+/// The prompt of the run was read, or its run ended before.
+void endReading(step &s, owned_item &item)
+{
+    if (const auto found = s.state.upstreams.find(item.upstream); found != s.state.upstreams.end()) {
+        found->second.readingTokens = std::max(0.0, found->second.readingTokens - item.readingTokens);
+    }
+    item.readingTokens = 0;
+}
+
 /// Removes a run that ended or was stopped; its item returns to the waiting phase.
 void detachRun(step &s, owned_item &item)
 {
+    endReading(s, item);
     releaseReservation(s, item);
     s.state.ops.erase(item.run);
     item.run = {};
@@ -110,6 +120,21 @@
     return std::clamp(expected, kMinProgressTimeout, kMaxProgressTimeout);
 }
 
+/// Counts the prompt of a run, and records that its upstream holds the shared part from now on.
+void beginReading(step &s, upstream_view &view, const model_id &model, owned_item &item)
+{
+    const shared_prompt prompt = sharedPromptOf(model, item.item);
+    const double held = view.heldPrompts.tokensHeld(prompt, view.entry.weights);
+    const double tokens = promptTokensOf(item.item);
+    item.readingTokens = std::max(0.0, tokens - held);
+    view.readingTokens += item.readingTokens;
+    const auto limits = s.state.config.engines.find(view.entry.service);
+    const double memory = limits == s.state.config.engines.end() ? 0 : limits->second.memoryTokens;
+    view.heldPrompts.recordUse(prompt, view.entry.weights, std::max(0.0, memory - view.reservedTokens));
+    s.emit(count{"prompt_tokens_sent_total", tokens});
+    s.emit(count{"prompt_tokens_held_total", std::min(held, tokens)});
+}
+
 void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
 {
     owned_item &item = batch.items[index];
@@ -118,6 +143,7 @@
     recordSent(s, view, item.firstStartedAt != instant{});
     item.reservedTokens = expectedTokens(s.state, view.entry.service, item);
     view.reservedTokens += item.reservedTokens;
+    beginReading(s, view, batch.spec.model, item);
     item.phase = item_phase::running;
     item.upstream = target;
     item.startedAt = s.ctx.now;
@@ -303,6 +329,15 @@
     }
 }
 
+/// What the incomplete items of a batch need.
+struct batch_outlook
+{
+    /// Longest expected output of an item that the trainer waits for.
+    double remainingMs = 0;
+    /// Number of items, by the last part that they share.
+    std::map<std::uint64_t, std::size_t> groupItems;
+};
+
 } // namespace
 
 void startRuns(step &s)
@@ -317,21 +352,36 @@
         owned_batch *batch;
         std::size_t index;
         service_id service;
+        double outputMs;
+        shared_prompt prompt;
     };
     std::vector<waiting_run> waiting;
     service_snapshot_cache snapshots(state, s.ctx.now);
+    std::map<batch_id, batch_outlook> outlooks;
     for (auto &[id, batch] : state.owned) {
         const route *matchedRoute = findRoute(state.config, batch.spec.host, batch.spec.path);
         if (matchedRoute == nullptr || batch.handingOver) {
             continue;
         }
+        batch_outlook &outlook = outlooks[id];
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
+            if (!item.isGenerating()) {
+                continue;
+            }
+            const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
+            const double median = snapshots.get(service).medianInterChunkLatencyMs;
+            const double outputMs = expectedOutputMs(state, service, item, median);
+            shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+            if (!prompt.parts.empty()) {
+                ++outlook.groupItems[prompt.parts.back().id];
+            }
+            if (!item.isSurplus) {
+                outlook.remainingMs = std::max(outlook.remainingMs, outputMs);
+            }
             if (item.phase == item_phase::waiting) {
-                const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
-                const double median = snapshots.get(service).medianInterChunkLatencyMs;
                 waiting.push_back({latestStartMs(state, batch, item, *matchedRoute, service, median), &batch,
-                                   i, service});
+                                   i, service, outputMs, std::move(prompt)});
             }
         }
     }
@@ -356,6 +406,7 @@
     }
     identifyUpstreams(s, waitingBuilds);
     std::map<std::tuple<service_id, model_id, weight_version, upstream_build>, item_stage> full;
+    std::set<std::pair<batch_id, shared_prompt>> waitingForHolder;
     for (const waiting_run &run : waiting) {
         const batch &spec = run.batch->spec;
         owned_item &waitingItem = run.batch->items[run.index];
@@ -363,6 +414,13 @@
             discardUncontinuable(s, waitingItem, run.service, snapshots.get(run.service));
         }
         const bool continues = waitingItem.chunkCount > 0;
+        const batch_outlook &outlook = outlooks.at(spec.id);
+        const bool canWait = !continues && !run.prompt.parts.empty()
+                             && canWaitForHolder(run.outputMs, outlook.remainingMs);
+        if (canWait && waitingForHolder.contains({spec.id, run.prompt})) {
+            setWaitStage(s, waitingItem, item_stage::slot_wait);
+            continue;
+        }
         const auto key = std::make_tuple(run.service, spec.model, spec.minVersion,
                                          continues ? waitingItem.build : upstream_build{});
         if (const auto reason = full.find(key); reason != full.end()) {
@@ -374,7 +432,19 @@
                                   spec.minVersion,      &snapshots.get(run.service),
                                   expectedTokens(item), isShort(item)};
         request.build = continues ? &waitingItem.build : nullptr;
-        const auto target = placeRun(state, request, s.ctx.now);
+        request.prompt = &run.prompt;
+        request.promptTokens = promptTokensOf(item);
+        request.outputMs = run.outputMs;
+        request.batchMs = outlook.remainingMs;
+        request.groupItems = canWait ? outlook.groupItems.at(run.prompt.parts.back().id) : 0;
+        const placement atHolder = canWait ? placeAtHolder(state, request, s.ctx.now) : placement();
+        if (std::holds_alternative<wait_for_holder>(atHolder)) {
+            waitingForHolder.emplace(spec.id, run.prompt);
+            setWaitStage(s, waitingItem, item_stage::slot_wait);
+            continue;
+        }
+        const auto *holder = std::get_if<upstream_id>(&atHolder);
+        const auto target = holder != nullptr ? std::optional(*holder) : placeRun(state, request, s.ctx.now);
         if (!target) {
             setWaitStage(s, waitingItem, full.emplace(key, waitStageOf(s, request)).first->second);
             continue;
@@ -586,6 +656,7 @@
     item->lastChunkAt = s.ctx.now;
     if (isFirstOfRun) {
         item->firstChunkAt = s.ctx.now;
+        endReading(s, *item);
     }
     raiseReservation(s, *item);
     if (const auto view = s.state.upstreams.find(operation.upstream); view != s.state.upstreams.end()) {
