Moves count the reading of the prompt, and a brief ejection ends no wait for a holder

Change: a move counts the reading like a start; an upstream that is ejected for at most the time after a refusal counts as a full one. The step's line in the log tells the prompt tokens sent and those expected to be held. Tests of the pure decisions.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -183,6 +183,10 @@
     bool handingOver = false;
     instant nextCheckpoint{};
     instant ownedAt{};
+    /// Prompt tokens of all runs under this owner, and those of them that the upstreams should have held;
+    /// used only for the log.
+    double promptTokensSent = 0;
+    double promptTokensHeld = 0;
 };
 
 /// A batch whose acceptance is not yet confirmed by the store.
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -53,6 +53,9 @@
 constexpr double kHolderWaitFactor = 2;
 constexpr double kHolderWaitReserveMs = 500;
 
+/// An item does not wait for an upstream that is ejected for longer than after a refused run.
+constexpr milliseconds kMaxHolderEjection{250};
+
 /// Cost factor of an upstream whose memory cannot hold all its runs: it preempts one of them and later has to
 /// read the tokens of that run again.
 constexpr double kOutOfMemoryCostFactor = 2.5;
@@ -115,6 +118,19 @@
            && hasLimitToken(view);
 }
 
+/// True if the upstream holds most of the prompt, and a run could start there soon without delaying its
+/// batch.
+bool isHolder(const node_state &state, const upstream_view &view, const placement_request &request,
+              double relativeLatency, instant now)
+{
+    return view.entry.service == request.service && !isLeaving(state, view)
+           && view.ejectedUntil <= now + kMaxHolderEjection
+           && versionOf(view, request.model) >= request.minVersion && !isLoading(state, view.entry.id, now)
+           && canWaitForHolder(request.outputMs * relativeLatency, request.batchMs)
+           && 2 * view.heldPrompts.tokensHeld(*request.prompt, view.entry.weights)
+                      >= request.prompt->tokens();
+}
+
 } // namespace
 
 weight_version versionOf(const upstream_view &view, const model_id &model)
@@ -361,16 +377,14 @@
     std::optional<upstream_id> best;
     double bestCost = 0;
     for (const auto &[id, view] : state.upstreams) {
-        const double runMs = request.outputMs * relativeLatencyOf(view, median, now);
-        if (!canTakeRun(state, view, request, now) || !canWaitForHolder(runMs, request.batchMs)
-            || 2 * view.heldPrompts.tokensHeld(*request.prompt, view.entry.weights)
-                       < request.prompt->tokens()) {
+        if (!isHolder(state, view, request, relativeLatencyOf(view, median, now), now)) {
             continue;
         }
         ++holders;
         slots = std::max(slots, view.entry.slots);
         const auto cost = placementCost(state, view, request, now);
-        if (view.running < view.entry.slots && cost && (!best || *cost < bestCost)) {
+        if (canTakeRun(state, view, request, now) && view.running < view.entry.slots && cost
+            && (!best || *cost < bestCost)) {
             best = id;
             bestCost = *cost;
         }
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -121,9 +121,9 @@
 }
 
 /// Counts the prompt of a run, and records that its upstream holds the shared part from now on.
-void beginReading(step &s, upstream_view &view, const model_id &model, owned_item &item)
+void beginReading(step &s, upstream_view &view, owned_batch &batch, owned_item &item)
 {
-    const shared_prompt prompt = sharedPromptOf(model, item.item);
+    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
     const double held = view.heldPrompts.tokensHeld(prompt, view.entry.weights);
     const double tokens = promptTokensOf(item.item);
     item.readingTokens = std::max(0.0, tokens - held);
@@ -131,8 +131,10 @@
     const auto limits = s.state.config.engines.find(view.entry.service);
     const double memory = limits == s.state.config.engines.end() ? 0 : limits->second.memoryTokens;
     view.heldPrompts.recordUse(prompt, view.entry.weights, std::max(0.0, memory - view.reservedTokens));
+    batch.promptTokensSent += tokens;
+    batch.promptTokensHeld += tokens - item.readingTokens;
     s.emit(count{"prompt_tokens_sent_total", tokens});
-    s.emit(count{"prompt_tokens_held_total", std::min(held, tokens)});
+    s.emit(count{"prompt_tokens_held_total", tokens - item.readingTokens});
 }
 
 void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
@@ -143,7 +145,7 @@
     recordSent(s, view, item.firstStartedAt != instant{});
     item.reservedTokens = expectedTokens(s.state, view.entry.service, item);
     view.reservedTokens += item.reservedTokens;
-    beginReading(s, view, batch.spec.model, item);
+    beginReading(s, view, batch, item);
     item.phase = item_phase::running;
     item.upstream = target;
     item.startedAt = s.ctx.now;
@@ -471,11 +473,21 @@
     if (!stalled && remainingChunks * currentLatency < kMinMoveGainMs) {
         return std::nullopt;
     }
-    const auto target = placeRun(s.state,
-                                 {service, batch.spec.model, batch.spec.minVersion, &snapshot,
-                                  expectedTokens(s.state, service, item), false, true, stalled, true,
-                                  item.chunkCount > 0 ? &item.build : nullptr},
-                                 s.ctx.now);
+    placement_request request{service,
+                              batch.spec.model,
+                              batch.spec.minVersion,
+                              &snapshot,
+                              expectedTokens(s.state, service, item),
+                              false,
+                              true,
+                              stalled,
+                              true,
+                              item.chunkCount > 0 ? &item.build : nullptr};
+    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+    request.prompt = &prompt;
+    request.promptTokens = promptTokensOf(item.item);
+    request.outputMs = remainingChunks * snapshot.medianInterChunkLatencyMs;
+    const auto target = placeRun(s.state, request, s.ctx.now);
     if (!target || *target == item.upstream || stalled) {
         return target == item.upstream ? std::nullopt : target;
     }
--- a/src/node_step_log.cpp
+++ b/src/node_step_log.cpp
@@ -133,9 +133,10 @@
             {"ownedMs", static_cast<std::int64_t>(storeTime(s.state, s.ctx.now)) - ownedFor.count()},
             {"fastestChunkUs", static_cast<std::int64_t>(capacity.fastestChunkMs * kMsToUs)},
             {"chunksPerSecond", static_cast<std::int64_t>(capacity.chunksPerSecond)},
-            {"scoreMs",
-             static_cast<std::int64_t>(first.item.reward ? expectedRewardDuration(s.state, *first.item.reward)
-                                                         : 0)}};
+            {"scoreMs", static_cast<std::int64_t>(
+                                first.item.reward ? expectedRewardDuration(s.state, *first.item.reward) : 0)},
+            {"promptTokens", static_cast<std::int64_t>(batch.promptTokensSent)},
+            {"promptTokensHeld", static_cast<std::int64_t>(batch.promptTokensHeld)}};
     addWork(fields, groups, wanted);
     if (groups.size() >= wanted) {
         addDecidingGroup(s, fields, batch, groups.at(wanted - 1));
--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -273,4 +273,151 @@
     }
 }
 
+namespace {
+
+/// Engines of one service without load, as one daemon sees them.
+class prompt_placement : public testing::Test
+{
+protected:
+    static constexpr double kLatencyMs = 50;
+
+    void addUpstreams(std::size_t count, double latencyMs = kLatencyMs)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const upstream_id id{"e" + std::to_string(10 + m_state.upstreams.size())};
+            upstream_view &view = m_state.upstreams[id];
+            view.entry.id = id;
+            view.entry.service = {"engines"};
+            view.entry.slots = 6;
+            view.entry.weights = {{{"m0"}, {1}}};
+            view.interChunkLatencyMs = latencyMs;
+            m_snapshot.assignment[id] = {"m0"};
+        }
+    }
+    placement_request makeRequest(const shared_prompt &prompt, std::size_t groupItems)
+    {
+        placement_request request;
+        request.service = {"engines"};
+        request.model = {"m0"};
+        request.minVersion = {1};
+        request.snapshot = &m_snapshot;
+        request.tokens = 1500;
+        request.prompt = &prompt;
+        request.promptTokens = prompt.tokens() + 16;
+        request.outputMs = 800;
+        request.batchMs = 5000;
+        request.groupItems = groupItems;
+        return request;
+    }
+    void begin(const upstream_id &id, const shared_prompt &prompt)
+    {
+        upstream_view &view = m_state.upstreams.at(id);
+        ++view.running;
+        view.readingTokens += prompt.tokens() - view.heldPrompts.tokensHeld(prompt, view.entry.weights);
+        view.heldPrompts.recordUse(prompt, view.entry.weights, 50'000);
+    }
+    /// Places and begins a run. @returns none if it waits.
+    std::optional<upstream_id> place(const placement_request &request)
+    {
+        const placement atHolder = placeAtHolder(m_state, request, m_now);
+        if (std::holds_alternative<wait_for_holder>(atHolder)) {
+            return std::nullopt;
+        }
+        const auto *holder = std::get_if<upstream_id>(&atHolder);
+        const auto target = holder != nullptr ? std::optional(*holder) : placeRun(m_state, request, m_now);
+        if (target) {
+            begin(*target, *request.prompt);
+        }
+        return target;
+    }
+
+    node_state m_state;
+    service_snapshot m_snapshot{{}, kLatencyMs};
+    instant m_now{milliseconds{1000}};
+};
+
+} // namespace
+
+TEST_F(prompt_placement, spreadsGroupOverAsManyUpstreamsAsItNeeds)
+{
+    // Pattern: groups of 16 and of 8 items on idle upstreams of 6 slots. Their prompt is read at 3 and 2
+    // upstreams, and no item waits.
+    for (const std::size_t groupItems : {16U, 8U}) {
+        addUpstreams(10);
+        const shared_prompt prompt{{"m0"}, {{groupItems, 1000}}};
+        std::set<upstream_id> used;
+        for (std::size_t i = 0; i < groupItems; ++i) {
+            const auto target = place(makeRequest(prompt, groupItems));
+            ASSERT_TRUE(target.has_value());
+            used.insert(*target);
+        }
+        EXPECT_EQ(used.size(), upstreamsForGroup(groupItems, 6));
+    }
+}
+
+TEST_F(prompt_placement, waitsForHolderOnlyWithoutDelayingBatch)
+{
+    // Pattern: the upstream that holds a group's prompt is full of other runs, others are idle. The longest
+    // item of a step does not wait, however much it would save.
+    addUpstreams(3);
+    const shared_prompt prompt{{"m0"}, {{1, 6000}}};
+    begin({"e10"}, prompt);
+    m_state.upstreams.at({"e10"}).running = 6;
+    placement_request request = makeRequest(prompt, 5);
+    EXPECT_EQ(placeAtHolder(m_state, request, m_now), placement(wait_for_holder{}));
+    request.outputMs = 4500;
+    EXPECT_EQ(placeAtHolder(m_state, request, m_now), placement());
+    EXPECT_NE(placeRun(m_state, request, m_now), upstream_id{"e10"});
+}
+
+TEST_F(prompt_placement, leavesSlowHolderToShortItems)
+{
+    // Pattern: a quarter of the upstreams are half as fast as the others. An item of 0.8 s waits there
+    // without delaying its step of 3 s; one of 1.2 s goes to another upstream.
+    addUpstreams(1, 2 * kLatencyMs);
+    addUpstreams(3);
+    const shared_prompt prompt{{"m0"}, {{1, 1000}}};
+    m_state.upstreams.at({"e10"}).latencyUpdatedAt = m_now;
+    begin({"e10"}, prompt);
+    placement_request request = makeRequest(prompt, 4);
+    request.batchMs = 4000;
+    EXPECT_EQ(placeAtHolder(m_state, request, m_now), placement(upstream_id{"e10"}));
+    request.outputMs = 1200;
+    EXPECT_EQ(placeAtHolder(m_state, request, m_now), placement());
+}
+
+TEST_F(prompt_placement, placesLongPromptsApartAndAwayFromRuns)
+{
+    // Pattern: prompts of 6,000 tokens beside runs whose prompts have 16.
+    addUpstreams(3);
+    const shared_prompt shortPrompt{{"m0"}, {{1, 16}}};
+    for (int i = 0; i < 3; ++i) {
+        begin({"e10"}, shortPrompt);
+    }
+    begin({"e11"}, shortPrompt);
+    std::set<upstream_id> used;
+    for (std::uint64_t id = 2; id < 4; ++id) {
+        const shared_prompt longPrompt{{"m0"}, {{id, 6000}}};
+        used.insert(place(makeRequest(longPrompt, 0)).value());
+    }
+    EXPECT_EQ(used, (std::set<upstream_id>{{"e11"}, {"e12"}}));
+    // A short prompt does not queue behind one that is being read.
+    EXPECT_EQ(place(makeRequest(shortPrompt, 0)), upstream_id{"e10"});
+}
+
+TEST_F(prompt_placement, placesEqualPromptsByLoad)
+{
+    // Pattern: all prompts have about 270 tokens and are held nowhere.
+    addUpstreams(6);
+    for (std::uint64_t id = 1; id <= 36; ++id) {
+        const shared_prompt prompt{{"m0"}, {{id, 270}}};
+        placement_request request = makeRequest(prompt, 8);
+        placement_request withoutPrompt = request;
+        withoutPrompt.prompt = nullptr;
+        const auto expected = placeRun(m_state, withoutPrompt, m_now);
+        EXPECT_EQ(place(request), expected);
+        m_state.upstreams.at(*expected).readingTokens = 0;
+    }
+}
+
 } // namespace jacinthvale
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -260,6 +260,25 @@
     EXPECT_FALSE(platform::decodeBatch(batchBody(itemWithReward("i1", "null")))->items.at(0).reward);
 }
 
+TEST(platform_wire, decodesPromptParts)
+{
+    const auto partsOf = [](const std::string &prefix) {
+        const auto decoded = platform::decodeBatch(
+                batchBody(R"({"id":"i1","path":"/x/1","headers":{"Jacinthvale-Prompt-Prefix":")" + prefix
+                          + R"("},"body":"eA==","tokens":940,"group":"g"})"));
+        return decoded->items.at(0).promptParts;
+    };
+    const auto parts = partsOf("9c2e41:300, 5d07b8:240");
+    ASSERT_EQ(parts.size(), 2U);
+    EXPECT_EQ(parts[0].tokens, 300U);
+    EXPECT_EQ(parts[1].tokens, 240U);
+    EXPECT_EQ(parts[0], partsOf("9c2e41:300,77:1").at(0));
+    EXPECT_NE(parts[0].id, parts[1].id);
+    for (const char *malformed : {"", "9c2e41", "9c2e41:", ":300", "9c2e41:300,", "9c2e41:x", "9c2e41:-1"}) {
+        EXPECT_TRUE(partsOf(malformed).empty()) << malformed;
+    }
+}
+
 TEST(platform_wire, rejectsBatchWithMalformedOrRepeatedReward)
 {
     for (const char *malformed :
