Only prompts that are long to read are waited for, within the memory of their holder

Change: an item waits only where reading the shared prompt takes a twentieth of the time between two chunks, and only for upstreams with memory for it; a group gets a further upstream when more items wait than its holders have slots; a run whose end does not delay its batch is not moved.

--- a/include/jacinthvale/node_prefixes.h
+++ b/include/jacinthvale/node_prefixes.h
@@ -61,8 +61,4 @@
     std::uint64_t m_useCount = 0;
 };
 
-/// @returns the number of upstreams over which the items of a group are spread: as many as it takes to run
-/// all of them at once.
-std::size_t upstreamsForGroup(std::size_t items, unsigned slots);
-
 } // namespace jacinthvale::node
--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -53,6 +53,9 @@
 constexpr double kHolderWaitFactor = 2;
 constexpr double kHolderWaitReserveMs = 500;
 
+/// Share of the time between two chunks from which on the reading of a prompt is worth a wait.
+constexpr double kMinReadingShare = 0.05;
+
 /// An item does not wait for an upstream that is ejected for longer than after a refused run.
 constexpr milliseconds kMaxHolderEjection{250};
 
@@ -323,6 +326,13 @@
     return batchMs > kHolderWaitFactor * runMs + kHolderWaitReserveMs;
 }
 
+bool isLongToRead(const shared_prompt &prompt, double medianInterChunkLatencyMs)
+{
+    const double latencyMs
+            = medianInterChunkLatencyMs > 0 ? medianInterChunkLatencyMs : kDefaultInterChunkLatencyMs;
+    return prompt.tokens() / kReadTokensPerMs >= kMinReadingShare * latencyMs;
+}
+
 namespace {
 
 bool canTakeRun(const node_state &state, const upstream_view &view, const placement_request &request,
@@ -372,17 +382,17 @@
 placement placeAtHolder(const node_state &state, const placement_request &request, instant now)
 {
     const double median = request.snapshot->medianInterChunkLatencyMs;
-    std::size_t holders = 0;
-    unsigned slots = 0;
+    placement_request withMemory = request;
+    withMemory.requireMemory = true;
+    std::size_t slots = 0;
     std::optional<upstream_id> best;
     double bestCost = 0;
     for (const auto &[id, view] : state.upstreams) {
         if (!isHolder(state, view, request, relativeLatencyOf(view, median, now), now)) {
             continue;
         }
-        ++holders;
-        slots = std::max(slots, view.entry.slots);
-        const auto cost = placementCost(state, view, request, now);
+        slots += view.entry.slots;
+        const auto cost = placementCost(state, view, withMemory, now);
         if (canTakeRun(state, view, request, now) && view.running < view.entry.slots && cost
             && (!best || *cost < bestCost)) {
             best = id;
@@ -392,7 +402,7 @@
     if (best) {
         return *best;
     }
-    if (holders > 0 && holders >= upstreamsForGroup(request.groupItems, slots)) {
+    if (slots > 0 && slots >= request.waitingItems) {
         return wait_for_holder{};
     }
     return std::monostate{};
--- a/src/node_placement.h
+++ b/src/node_placement.h
@@ -95,8 +95,8 @@
     /// ends.
     double outputMs = 0;
     double batchMs = 0;
-    /// Incomplete items with this prompt.
-    std::size_t groupItems = 0;
+    /// Items with this prompt that have not started, this one included.
+    std::size_t waitingItems = 0;
 };
 
 /// @returns the time in ms for which reading a prompt at an upstream delays its run and the others there: its
@@ -112,8 +112,9 @@
 /// Result of a placement; std::monostate if the run starts wherever it ends first.
 using placement = std::variant<std::monostate, wait_for_holder, upstream_id>;
 
-/// @returns an upstream that holds the prompt; wait_for_holder if all of those are full, but they are enough
-/// for the group. Considers only upstreams where the run can wait without delaying its batch.
+/// @returns an upstream that holds the prompt; wait_for_holder if all of those are full, but have a slot for
+/// each waiting item of the group. Considers only upstreams where the run can wait without delaying its
+/// batch.
 placement placeAtHolder(const node_state &state, const placement_request &request, instant now);
 
 /// @returns the upstream for a generation, with weights of at least the requested version; none if all are
@@ -179,6 +180,9 @@
 /// @param batchMs expected time until the last item of the batch ends.
 bool canWaitForHolder(double runMs, double batchMs);
 
+/// True if reading the prompt pauses the other runs of an upstream long enough to be avoided.
+bool isLongToRead(const shared_prompt &prompt, double medianInterChunkLatencyMs);
+
 /// @returns the urgency of a run at its upstream, from 0 (most urgent) to 9.
 /// @param slackMs time until the latest start of the item.
 unsigned urgencyOf(double slackMs, bool isSurplus);
--- a/src/node_prefixes.cpp
+++ b/src/node_prefixes.cpp
@@ -73,10 +73,4 @@
     m_parts.erase(oldest);
 }
 
-std::size_t upstreamsForGroup(std::size_t items, unsigned slots)
-{
-    const std::size_t perUpstream = std::max(1U, slots);
-    return (items + perUpstream - 1) / perUpstream;
-}
-
 } // namespace jacinthvale::node
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <range/v3/algorithm/all_of.hpp>
+#include <range/v3/algorithm/none_of.hpp>
+#include <range/v3/numeric/accumulate.hpp>
 #include <range/v3/range/primitives.hpp>
 #include <range/v3/view/filter.hpp>
 #include <range/v3/view/map.hpp>
@@ -331,13 +333,27 @@
     }
 }
 
+/// @returns the expected time, in ms, until the last item that the trainer waits for ends.
+double remainingMsOf(const node_state &state, const owned_batch &batch, const route &matchedRoute,
+                     service_snapshot_cache &snapshots)
+{
+    return ranges::accumulate(batch.items, 0.0, [&](double longest, const owned_item &item) {
+        if (item.isSurplus || !item.isGenerating()) {
+            return longest;
+        }
+        const service_id service = pickService(matchedRoute, stableHash(item.item.id.value));
+        return std::max(longest, expectedOutputMs(state, service, item,
+                                                  snapshots.get(service).medianInterChunkLatencyMs));
+    });
+}
+
 /// What the incomplete items of a batch need.
 struct batch_outlook
 {
     /// Longest expected output of an item that the trainer waits for.
     double remainingMs = 0;
-    /// Number of items, by the last part that they share.
-    std::map<std::uint64_t, std::size_t> groupItems;
+    /// Number of waiting items, by the last part that they share.
+    std::map<std::uint64_t, std::size_t> waitingItems;
 };
 
 } // namespace
@@ -365,23 +381,22 @@
         if (matchedRoute == nullptr || batch.handingOver) {
             continue;
         }
+        if (ranges::none_of(batch.items,
+                            [](const owned_item &i) { return i.phase == item_phase::waiting; })) {
+            continue;
+        }
         batch_outlook &outlook = outlooks[id];
+        outlook.remainingMs = remainingMsOf(state, batch, *matchedRoute, snapshots);
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
-            if (!item.isGenerating()) {
-                continue;
-            }
-            const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
-            const double median = snapshots.get(service).medianInterChunkLatencyMs;
-            const double outputMs = expectedOutputMs(state, service, item, median);
-            shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
-            if (!prompt.parts.empty()) {
-                ++outlook.groupItems[prompt.parts.back().id];
-            }
-            if (!item.isSurplus) {
-                outlook.remainingMs = std::max(outlook.remainingMs, outputMs);
-            }
             if (item.phase == item_phase::waiting) {
+                const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
+                const double median = snapshots.get(service).medianInterChunkLatencyMs;
+                const double outputMs = expectedOutputMs(state, service, item, median);
+                shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+                if (!prompt.parts.empty()) {
+                    ++outlook.waitingItems[prompt.parts.back().id];
+                }
                 waiting.push_back({latestStartMs(state, batch, item, *matchedRoute, service, median), &batch,
                                    i, service, outputMs, std::move(prompt)});
             }
@@ -416,8 +431,9 @@
             discardUncontinuable(s, waitingItem, run.service, snapshots.get(run.service));
         }
         const bool continues = waitingItem.chunkCount > 0;
-        const batch_outlook &outlook = outlooks.at(spec.id);
+        batch_outlook &outlook = outlooks.at(spec.id);
         const bool canWait = !continues && !run.prompt.parts.empty()
+                             && isLongToRead(run.prompt, snapshots.get(run.service).medianInterChunkLatencyMs)
                              && canWaitForHolder(run.outputMs, outlook.remainingMs);
         if (canWait && waitingForHolder.contains({spec.id, run.prompt})) {
             setWaitStage(s, waitingItem, item_stage::slot_wait);
@@ -438,7 +454,7 @@
         request.promptTokens = promptTokensOf(item);
         request.outputMs = run.outputMs;
         request.batchMs = outlook.remainingMs;
-        request.groupItems = canWait ? outlook.groupItems.at(run.prompt.parts.back().id) : 0;
+        request.waitingItems = canWait ? outlook.waitingItems.at(run.prompt.parts.back().id) : 0;
         const placement atHolder = canWait ? placeAtHolder(state, request, s.ctx.now) : placement();
         if (std::holds_alternative<wait_for_holder>(atHolder)) {
             waitingForHolder.emplace(spec.id, run.prompt);
@@ -451,6 +467,9 @@
             setWaitStage(s, waitingItem, full.emplace(key, waitStageOf(s, request)).first->second);
             continue;
         }
+        if (!run.prompt.parts.empty()) {
+            --outlook.waitingItems.at(run.prompt.parts.back().id);
+        }
         startRun(s, *run.batch, run.index, *target, run.latestStart);
     }
 }
@@ -459,7 +478,7 @@
 
 /// @returns the upstream to which a run should move; none if it should stay.
 std::optional<upstream_id> betterUpstream(const step &s, const owned_batch &batch, const owned_item &item,
-                                          double remainingChunks, const service_id &service,
+                                          double remainingChunks, double batchMs, const service_id &service,
                                           service_snapshot_cache &snapshots)
 {
     const service_snapshot &snapshot = snapshots.get(service);
@@ -473,6 +492,11 @@
     if (!stalled && remainingChunks * currentLatency < kMinMoveGainMs) {
         return std::nullopt;
     }
+    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+    if (!stalled && isLongToRead(prompt, snapshot.medianInterChunkLatencyMs)
+        && canWaitForHolder(remainingChunks * currentLatency, batchMs)) {
+        return std::nullopt;
+    }
     placement_request request{service,
                               batch.spec.model,
                               batch.spec.minVersion,
@@ -483,7 +507,6 @@
                               stalled,
                               true,
                               item.chunkCount > 0 ? &item.build : nullptr};
-    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
     request.prompt = &prompt;
     request.promptTokens = promptTokensOf(item.item);
     request.outputMs = remainingChunks * snapshot.medianInterChunkLatencyMs;
@@ -529,9 +552,10 @@
             }
         }
         std::ranges::sort(candidates, std::greater<>{}, &candidate::remainingChunks);
+        const double batchMs = remainingMsOf(state, batch, *matchedRoute, snapshots);
         for (const auto &[remainingChunks, index, service] : candidates) {
             owned_item &item = batch.items[index];
-            const auto target = betterUpstream(s, batch, item, remainingChunks, service, snapshots);
+            const auto target = betterUpstream(s, batch, item, remainingChunks, batchMs, service, snapshots);
             if (!target) {
                 continue;
             }
