--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -311,7 +311,7 @@
     }
     void begin(const upstream_id &id, const shared_prompt &prompt)
     {
-        upstream_view &view = m_state.upstreams.at(id);
+        node::upstream_view &view = m_state.upstreams.at(id);
         ++view.running;
         view.readingTokens += prompt.tokens() - view.heldPrompts.tokensHeld(prompt, view.entry.weights);
         view.heldPrompts.recordUse(prompt, view.entry.weights, 50'000);
