An upstream that holds a long prompt costs a twentieth less

Cause: items that cannot wait, and moves, took any upstream of about the same cost; the reading that a holder saves is 4 ms of 760.

--- a/src/node_placement.cpp
+++ b/src/node_placement.cpp
@@ -53,6 +53,9 @@
 constexpr double kHolderWaitFactor = 2;
 constexpr double kHolderWaitReserveMs = 500;
 
+/// Cost factor of an upstream that holds a prompt that is long to read.
+constexpr double kHolderCostFactor = 0.95;
+
 /// Share of the time between two chunks from which on the reading of a prompt is worth a wait.
 constexpr double kMinReadingShare = 0.05;
 
@@ -121,6 +124,11 @@
            && hasLimitToken(view);
 }
 
+bool holdsMost(const upstream_view &view, const shared_prompt &prompt)
+{
+    return 2 * view.heldPrompts.tokensHeld(prompt, view.entry.weights) >= prompt.tokens();
+}
+
 /// True if the upstream holds most of the prompt, and a run could start there soon without delaying its
 /// batch.
 bool isHolder(const node_state &state, const upstream_view &view, const placement_request &request,
@@ -130,8 +138,7 @@
            && view.ejectedUntil <= now + kMaxHolderEjection
            && versionOf(view, request.model) >= request.minVersion && !isLoading(state, view.entry.id, now)
            && canWaitForHolder(request.outputMs * relativeLatency, request.batchMs)
-           && 2 * view.heldPrompts.tokensHeld(*request.prompt, view.entry.weights)
-                      >= request.prompt->tokens();
+           && holdsMost(view, *request.prompt);
 }
 
 } // namespace
@@ -366,6 +373,10 @@
         cost *= kCrossZoneCostFactor;
     }
     if (request.prompt != nullptr && request.outputMs > 0) {
+        if (isLongToRead(*request.prompt, request.snapshot->medianInterChunkLatencyMs)
+            && holdsMost(view, *request.prompt)) {
+            cost *= kHolderCostFactor;
+        }
         cost += readingCostMs(view, *request.prompt, request.promptTokens) / request.outputMs;
     }
     if (memory > 0 && view.running > 0 && view.reservedTokens + request.tokens > memory) {
