--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -9,6 +9,7 @@
 #include <jacinthvale/node_currency.h>
 #include <jacinthvale/node_event.h>
 #include <jacinthvale/node_leases.h>
+#include <jacinthvale/node_prefixes.h>
 #include <jacinthvale/node_scaling.h>
 #include <jacinthvale/node_timeline.h>
 #include <jacinthvale/node_usage.h>
@@ -132,6 +133,8 @@
     std::uint64_t chunkCountAtStart = 0;
     /// Tokens reserved at the upstream for this run.
     double reservedTokens = 0;
+    /// Prompt tokens that the upstream reads for this run; 0 after its first chunk.
+    double readingTokens = 0;
     /// The item belongs to a group that the trainer does not wait for.
     bool isSurplus = false;
     /// Score of `text`; empty until the reward call succeeded.
@@ -188,6 +191,10 @@
     bool handingOver = false;
     instant nextCheckpoint{};
     instant ownedAt{};
+    /// Prompt tokens of all runs under this owner, and those of them that the upstreams should have held;
+    /// used only for the log.
+    double promptTokensSent = 0;
+    double promptTokensHeld = 0;
 };
 
 /// Identifies one attempt of a daemon to store a batch in several transactions; random.
@@ -442,6 +449,10 @@
     unsigned running = 0;
     /// Tokens reserved for the generations that this process runs there.
     double reservedTokens = 0;
+    /// Prompt tokens of the runs of this process there that have produced no chunk yet.
+    double readingTokens = 0;
+    /// Prompt parts that this process had read there.
+    held_prompts heldPrompts;
     unsigned consecutiveFailures = 0;
     /// No new work is sent before this time.
     instant ejectedUntil{};
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <range/v3/algorithm/all_of.hpp>
+#include <range/v3/algorithm/none_of.hpp>
+#include <range/v3/numeric/accumulate.hpp>
 #include <range/v3/range/primitives.hpp>
 #include <range/v3/view/filter.hpp>
 #include <range/v3/view/map.hpp>
@@ -95,9 +97,19 @@
     }
 }
 
+/// The prompt of the run was read, or its run ended before.
+void endReading(step &s, owned_item &item)
+{
+    if (const auto found = s.state.upstreams.find(item.upstream); found != s.state.upstreams.end()) {
+        found->second.readingTokens = std::max(0.0, found->second.readingTokens - item.readingTokens);
+    }
+    item.readingTokens = 0;
+}
+
 /// Removes a run that ended or was stopped; its item returns to the waiting phase.
 void detachRun(step &s, owned_item &item)
 {
+    endReading(s, item);
     releaseReservation(s, item);
     s.state.ops.erase(item.run);
     item.run = {};
@@ -114,6 +126,23 @@
     return std::clamp(expected, kMinProgressTimeout, kMaxProgressTimeout);
 }
 
+/// Counts the prompt of a run, and records that its upstream holds the shared part from now on.
+void beginReading(step &s, upstream_view &view, owned_batch &batch, owned_item &item)
+{
+    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+    const double held = view.heldPrompts.tokensHeld(prompt, view.entry.weights);
+    const double tokens = promptTokensOf(item.item);
+    item.readingTokens = std::max(0.0, tokens - held);
+    view.readingTokens += item.readingTokens;
+    const auto limits = s.state.config.engines.find(view.entry.service);
+    const double memory = limits == s.state.config.engines.end() ? 0 : limits->second.memoryTokens;
+    view.heldPrompts.recordUse(prompt, view.entry.weights, std::max(0.0, memory - view.reservedTokens));
+    batch.promptTokensSent += tokens;
+    batch.promptTokensHeld += tokens - item.readingTokens;
+    s.emit(count{"prompt_tokens_sent_total", tokens});
+    s.emit(count{"prompt_tokens_held_total", tokens - item.readingTokens});
+}
+
 void startRun(step &s, owned_batch &batch, std::size_t index, const upstream_id &target, double latestStart)
 {
     owned_item &item = batch.items[index];
@@ -122,6 +151,7 @@
     recordSent(s, view, item.firstStartedAt != instant{});
     item.reservedTokens = expectedTokens(s.state, view.entry.service, item);
     view.reservedTokens += item.reservedTokens;
+    beginReading(s, view, batch, item);
     item.phase = item_phase::running;
     item.upstream = target;
     item.startedAt = s.ctx.now;
@@ -308,9 +338,28 @@
     }
 }
 
-} // namespace
+/// @returns the expected time, in ms, until the last item that the trainer waits for ends.
+double remainingMsOf(const node_state &state, const owned_batch &batch, const route &matchedRoute,
+                     service_snapshot_cache &snapshots)
+{
+    return ranges::accumulate(batch.items, 0.0, [&](double longest, const owned_item &item) {
+        if (item.isSurplus || !item.isGenerating()) {
+            return longest;
+        }
+        const service_id service = pickService(matchedRoute, stableHash(item.item.id.value));
+        return std::max(longest, expectedOutputMs(state, service, item,
+                                                  snapshots.get(service).medianInterChunkLatencyMs));
+    });
+}
 
-namespace {
+/// What the incomplete items of a batch need.
+struct batch_outlook
+{
+    /// Longest expected output of an item that the trainer waits for.
+    double remainingMs = 0;
+    /// Number of waiting items, by the last part that they share.
+    std::map<std::uint64_t, std::size_t> waitingItems;
+};
 
 /// @returns the rank of a batch among those of all accounts; 0 where requests need no key.
 unsigned rankOfBatch(const node_state &state, const batch &spec, const route &matchedRoute)
@@ -333,22 +382,37 @@
         owned_batch *batch;
         std::size_t index;
         service_id service;
+        double outputMs;
+        shared_prompt prompt;
     };
     std::vector<waiting_run> waiting;
     service_snapshot_cache snapshots(state, s.ctx.now);
+    std::map<batch_id, batch_outlook> outlooks;
     for (auto &[id, batch] : state.owned) {
         const route *matchedRoute = findRoute(state.config, batch.spec.host, batch.spec.path);
         if (matchedRoute == nullptr || batch.handingOver) {
             continue;
         }
         const unsigned rank = rankOfBatch(state, batch.spec, *matchedRoute);
+        if (ranges::none_of(batch.items,
+                            [](const owned_item &i) { return i.phase == item_phase::waiting; })) {
+            continue;
+        }
+        batch_outlook &outlook = outlooks[id];
+        outlook.remainingMs = remainingMsOf(state, batch, *matchedRoute, snapshots);
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
             if (item.phase == item_phase::waiting) {
                 const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
                 const double median = snapshots.get(service).medianInterChunkLatencyMs;
                 const double latestStart = latestStartMs(state, batch, item, *matchedRoute, service, median);
-                waiting.push_back({rankedStartMs(latestStart, rank), &batch, i, service});
+                const double outputMs = expectedOutputMs(state, service, item, median);
+                shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+                if (!prompt.parts.empty()) {
+                    ++outlook.waitingItems[prompt.parts.back().id];
+                }
+                waiting.push_back(
+                        {rankedStartMs(latestStart, rank), &batch, i, service, outputMs, std::move(prompt)});
             }
         }
     }
@@ -373,6 +437,7 @@
     }
     identifyUpstreams(s, waitingBuilds);
     std::map<std::tuple<service_id, model_id, weight_version, upstream_build>, item_stage> full;
+    std::set<std::pair<batch_id, shared_prompt>> waitingForHolder;
     for (const waiting_run &run : waiting) {
         const batch &spec = run.batch->spec;
         owned_item &waitingItem = run.batch->items[run.index];
@@ -380,6 +445,14 @@
             discardUncontinuable(s, waitingItem, run.service, snapshots.get(run.service));
         }
         const bool continues = waitingItem.chunkCount > 0;
+        batch_outlook &outlook = outlooks.at(spec.id);
+        const bool canWait = !continues && !run.prompt.parts.empty()
+                             && isLongToRead(run.prompt, snapshots.get(run.service).medianInterChunkLatencyMs)
+                             && canWaitForHolder(run.outputMs, outlook.remainingMs);
+        if (canWait && waitingForHolder.contains({spec.id, run.prompt})) {
+            setWaitStage(s, waitingItem, item_stage::slot_wait);
+            continue;
+        }
         const auto key = std::make_tuple(run.service, spec.model, spec.minVersion,
                                          continues ? waitingItem.build : upstream_build{});
         if (const auto reason = full.find(key); reason != full.end()) {
@@ -391,11 +464,26 @@
                                   spec.minVersion,      &snapshots.get(run.service),
                                   expectedTokens(item), isShort(item)};
         request.build = continues ? &waitingItem.build : nullptr;
-        const auto target = placeRun(state, request, s.ctx.now);
+        request.prompt = &run.prompt;
+        request.promptTokens = promptTokensOf(item);
+        request.outputMs = run.outputMs;
+        request.batchMs = outlook.remainingMs;
+        request.waitingItems = canWait ? outlook.waitingItems.at(run.prompt.parts.back().id) : 0;
+        const placement atHolder = canWait ? placeAtHolder(state, request, s.ctx.now) : placement();
+        if (std::holds_alternative<wait_for_holder>(atHolder)) {
+            waitingForHolder.emplace(spec.id, run.prompt);
+            setWaitStage(s, waitingItem, item_stage::slot_wait);
+            continue;
+        }
+        const auto *holder = std::get_if<upstream_id>(&atHolder);
+        const auto target = holder != nullptr ? std::optional(*holder) : placeRun(state, request, s.ctx.now);
         if (!target) {
             setWaitStage(s, waitingItem, full.emplace(key, waitStageOf(s, request)).first->second);
             continue;
         }
+        if (!run.prompt.parts.empty()) {
+            --outlook.waitingItems.at(run.prompt.parts.back().id);
+        }
         startRun(s, *run.batch, run.index, *target, run.latestStart);
     }
 }
@@ -404,7 +492,7 @@
 
 /// @returns the upstream to which a run should move; none if it should stay.
 std::optional<upstream_id> betterUpstream(const step &s, const owned_batch &batch, const owned_item &item,
-                                          double remainingChunks, const service_id &service,
+                                          double remainingChunks, double batchMs, const service_id &service,
                                           service_snapshot_cache &snapshots)
 {
     const service_snapshot &snapshot = snapshots.get(service);
@@ -418,11 +506,25 @@
     if (!stalled && remainingChunks * currentLatency < kMinMoveGainMs) {
         return std::nullopt;
     }
-    const auto target = placeRun(s.state,
-                                 {service, batch.spec.model, batch.spec.minVersion, &snapshot,
-                                  expectedTokens(s.state, service, item), false, true, stalled, true,
-                                  item.chunkCount > 0 ? &item.build : nullptr},
-                                 s.ctx.now);
+    const shared_prompt prompt = sharedPromptOf(batch.spec.model, item.item);
+    if (!stalled && isLongToRead(prompt, snapshot.medianInterChunkLatencyMs)
+        && canWaitForHolder(remainingChunks * currentLatency, batchMs)) {
+        return std::nullopt;
+    }
+    placement_request request{service,
+                              batch.spec.model,
+                              batch.spec.minVersion,
+                              &snapshot,
+                              expectedTokens(s.state, service, item),
+                              false,
+                              true,
+                              stalled,
+                              true,
+                              item.chunkCount > 0 ? &item.build : nullptr};
+    request.prompt = &prompt;
+    request.promptTokens = promptTokensOf(item.item);
+    request.outputMs = remainingChunks * snapshot.medianInterChunkLatencyMs;
+    const auto target = placeRun(s.state, request, s.ctx.now);
     if (!target || *target == item.upstream || stalled) {
         return target == item.upstream ? std::nullopt : target;
     }
@@ -532,9 +634,10 @@
             }
         }
         std::ranges::sort(candidates, std::greater<>{}, &candidate::remainingChunks);
+        const double batchMs = remainingMsOf(state, batch, *matchedRoute, snapshots);
         for (const auto &[remainingChunks, index, service] : candidates) {
             owned_item &item = batch.items[index];
-            const auto target = betterUpstream(s, batch, item, remainingChunks, service, snapshots);
+            const auto target = betterUpstream(s, batch, item, remainingChunks, batchMs, service, snapshots);
             if (!target) {
                 continue;
             }
@@ -665,6 +768,7 @@
     item->lastChunkAt = s.ctx.now;
     if (isFirstOfRun) {
         item->firstChunkAt = s.ctx.now;
+        endReading(s, *item);
     }
     raiseReservation(s, *item);
     if (const auto view = s.state.upstreams.find(operation.upstream); view != s.state.upstreams.end()) {
