Output of an ended batch is reused by its own account only

Cause: text that is kept for items which return in a later batch was found by item id alone, so another account that submits the same item ids would have got it. Change: retained output bears the account of its batch. The test of waiting streams let streams fail instead of wait; upstreams drain instead. 500 fleets instead of 300.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -152,6 +152,8 @@
     /// Score of the text and the reward call that returned it.
     std::string score;
     request_id rewardId;
+    /// Account of the batch; others never get the text.
+    account_id account;
     instant retainedAt{};
 };
 
--- a/src/node_accounts.cpp
+++ b/src/node_accounts.cpp
@@ -97,8 +97,7 @@
     }
     std::ranges::sort(table.m_keys);
     // An account may list a key twice.
-    const auto repeated = std::ranges::unique(table.m_keys);
-    table.m_keys.erase(repeated.begin(), repeated.end());
+    table.m_keys.erase(std::unique(table.m_keys.begin(), table.m_keys.end()), table.m_keys.end());
     const bool isShared = std::ranges::adjacent_find(table.m_keys, {}, &entry::key) != table.m_keys.end();
     return m_hasEmptyKey || isShared ? std::nullopt : std::optional(std::move(table));
 }
--- a/src/node_retained.cpp
+++ b/src/node_retained.cpp
@@ -17,7 +17,8 @@
 {
     const bool newEnough = std::ranges::all_of(
             output.versions, [&](std::uint64_t version) { return version >= batch.spec.minVersion.value; });
-    return newEnough && (!singleVersion || output.versions.size() <= 1);
+    return output.account == batch.spec.account && newEnough
+           && (!singleVersion || output.versions.size() <= 1);
 }
 
 } // namespace
@@ -55,6 +56,7 @@
                                isComplete,
                                isCommitted ? result->second->score : item.score,
                                item.item.reward ? item.item.reward->id : request_id{},
+                               batch.spec.account,
                                s.ctx.now};
         if (isCommitted) {
             output.versions = {result->second->versions.begin(), result->second->versions.end()};
--- a/tests/test_node_accounts.cpp
+++ b/tests/test_node_accounts.cpp
@@ -361,6 +361,25 @@
     EXPECT_TRUE(simulation->violations().empty()) << simulation->violationText();
 }
 
+TEST(node_accounts, outputIsReusedOnlyByItsAccount)
+{
+    for (const bool same : {true, false}) {
+        const auto simulation = makeFleet(11, 1);
+        const batch first = node_simulation::makeBatch("b1", "m0", 1, {200, 200, 200, 200});
+        simulation->submitBatch(0, first, kFirstKey);
+        simulation->run(milliseconds{2000});
+        simulation->endBatch(0, first.id, kFirstKey);
+        simulation->run(milliseconds{100});
+        EXPECT_FALSE(simulation->state(0).retainedOutputs.empty());
+        batch second = first;
+        second.id = {"b2"};
+        simulation->submitBatch(0, second, same ? kOtherFirstKey : kSecondKey);
+        ASSERT_TRUE(simulation->runUntil([&] { return simulation->state(0).owned.contains(second.id); },
+                                         milliseconds{200}));
+        EXPECT_EQ(simulation->state(0).owned.at(second.id).items.front().chunkCount > 0, same);
+    }
+}
+
 TEST(node_accounts, relayedCallKeepsAccountWithoutItsKey)
 {
     const auto simulation = makeFleet(9);
@@ -381,26 +400,29 @@
 TEST(node_accounts, waitingStreamIsNotSentAfterItsKeyIsRemoved)
 {
     const auto simulation = makeFleet(10);
-    for (std::size_t i = 0; i < 4; ++i) {
-        simulation->upstream(i).up = false;
-    }
-    // The route's time to the first event is long enough for the configuration to change meanwhile.
+    const auto setDraining = [&](bool draining) {
+        for (std::size_t i = 0; i < 4; ++i) {
+            simulation->upstream(i).entry.draining = draining;
+        }
+        simulation->run(milliseconds{2000});
+    };
+    // The time to the first event is long enough for the configuration to change meanwhile.
     route_table table = simulation->state(0).config;
     ++table.version;
     for (route &changed : table.routes) {
-        changed.objective = milliseconds{8000};
+        changed.objective = milliseconds{40'000};
     }
     simulation->putConfig(table);
-    simulation->run(milliseconds{300});
-    const exchange_id stream = simulation->requestStream(0, "s1", "/stream/1", {}, 0, kFirstKey);
+    setDraining(true);
+    const exchange_id removed = simulation->requestStream(0, "s1", "/stream/1", {}, 0, kFirstKey);
+    const exchange_id kept = simulation->requestStream(0, "s2", "/stream/1", {}, 0, kSecondKey);
     simulation->run(milliseconds{100});
+    EXPECT_EQ(refusalOf(*simulation, removed), std::nullopt) << "waits";
     putAccounts(*simulation, {{"second", {"second-key"}}});
-    for (std::size_t i = 0; i < 4; ++i) {
-        simulation->upstream(i).up = true;
-    }
-    simulation->run(milliseconds{1500});
-    EXPECT_EQ(refusalOf(*simulation, stream), refusal::unauthorized);
+    setDraining(false);
+    EXPECT_EQ(refusalOf(*simulation, removed), refusal::unauthorized);
     EXPECT_FALSE(simulation->accountsSeen().contains("s1"));
+    EXPECT_TRUE(simulation->stream(kept).begun);
 }
 
 } // namespace jacinthvale
--- a/tests/test_node_currency.cpp
+++ b/tests/test_node_currency.cpp
@@ -251,8 +251,8 @@
             if (kind <= 1) {
                 simulation.setStoreUnreachable(i, active);
             }
-            if (kind == 2) {
-                simulation.setStoreStale(i, active && !begins ? simulation.state(i).configKnown : false);
+            if (kind == 2 && (begins || !active)) {
+                simulation.setStoreStale(i, begins);
             }
             if (begins && (kind == 1 || kind == 3)) {
                 simulation.freeze(i, end - begin);
@@ -293,7 +293,7 @@
 
 TEST(node_currency, removedKeyIsRefusedWithinTheBoundUnderAnyTrouble)
 {
-    constexpr std::uint64_t kFleets = 300;
+    constexpr std::uint64_t kFleets = 500;
     revocation_outcome total;
     for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
         const revocation_outcome outcome = revokeUnderTrouble(seed);
