Tests of leases and usage; clocks of hosts that are down stay in the median

Cause: nothing showed that holders take turns as they must, or how near reports come to the truth. With two of six clocks wrong, one host killed and one cut off, the median over the living hosts was one of the wrong clocks. Change: the median is over all known hosts. The simulation gets the platform's endpoint for duties, which checks fencing numbers, turns within the lease time and reports that differ, and hosts with clocks of their own. Ruled out: an error bound above 0.05 for the test; the bound is the deployment's.

--- a/src/node_usage.cpp
+++ b/src/node_usage.cpp
@@ -46,7 +46,9 @@
     return static_cast<std::uint64_t>(static_cast<std::int64_t>(store) + *state.usage.clockOffsetMs);
 }
 
-/// Reads the own clock, and computes the common offset from those of the living daemons.
+/// Reads the own clock, and computes the common offset from those of all known hosts. Also from those that
+/// are down: what they told stays as true as it was, and without them the wrong clocks could be half of the
+/// rest.
 void updateClock(step &s)
 {
     node_state &state = s.state;
@@ -62,9 +64,7 @@
     }
     std::vector<std::int64_t> offsets{*told};
     for (const auto &[host, advisory] : state.peerAdvisories) {
-        const auto found = state.members.find(host);
-        if (advisory.usage.clockOffsetMs && found != state.members.end()
-            && isAlive(state, {host, found->second.incarnation}, s.ctx.now)) {
+        if (advisory.usage.clockOffsetMs && host != state.self.host) {
             offsets.push_back(*advisory.usage.clockOffsetMs);
         }
     }
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -77,10 +77,12 @@
 } // namespace
 
 node_simulation::node_simulation(std::uint64_t seed, std::size_t daemons, std::size_t upstreams,
-                                 double storeReads, std::optional<milliseconds> revocationBound)
+                                 double storeReads, std::optional<milliseconds> revocationBound,
+                                 std::optional<duty_settings> duties)
     : m_random(seed)
     , m_storeReads(storeReads)
     , m_revocationBound(revocationBound)
+    , m_dutySettings(duties)
 {
     putConfig(makeRouteTable());
     setNamedVersion("m0", 1);
@@ -146,6 +148,7 @@
     identity.storeReadsPerSecond = m_storeReads;
     identity.sharedReadMinFleetSize = kSimulationSharedReadingThreshold;
     identity.revocationBound = m_revocationBound;
+    identity.duties = m_dutySettings;
     self.state = std::make_unique<node_state>(makeNodeState(identity));
     self.up = true;
     const std::uint64_t generation = ++self.generation;
@@ -220,7 +223,7 @@
         }
         return;
     }
-    const context now{m_now, {}, m_random()};
+    const context now{m_now, wallTimeOf(daemon), m_random()};
     for (node::effect &requested : reduce(*self.state, incoming, now)) {
         perform(daemon, requested);
     }
@@ -320,6 +323,7 @@
                     },
                     [&](const request_upstream_status &e) { reportStatus(daemon, e); },
                     [&](const order_weights &e) { orderWeights(daemon, e); },
+                    [&](const call_duty &e) { callDuty(daemon, e); },
                     [&](const answer_call &e) {
                         if (!returnRelayed(e.exchange, {true, e.status, e.headers, e.body})) {
                             storeAnswer(e);
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -75,6 +75,17 @@
     refuses_new,
 };
 
+/// How the platform treats calls of duties.
+enum class duty_behaviour : std::uint8_t {
+    answers,
+    /// Refuses calls for their rate.
+    limits,
+    /// Takes calls, and its answers are lost.
+    loses_answers,
+    /// Gets no calls.
+    silent,
+};
+
 /// What a caller has received of a stream.
 struct simulated_stream
 {
@@ -105,7 +116,8 @@
     /// @param storeReads configured limit of store reads per second for all daemons together.
     explicit node_simulation(std::uint64_t seed, std::size_t daemons = 3, std::size_t upstreams = 4,
                              double storeReads = 2000,
-                             std::optional<milliseconds> revocationBound = std::nullopt);
+                             std::optional<milliseconds> revocationBound = std::nullopt,
+                             std::optional<node::duty_settings> duties = std::nullopt);
 
     /// Advances the clock by @p time and executes the events that become due.
     void run(milliseconds time);
@@ -207,6 +219,21 @@
         return m_accountsSeen;
     }
 
+    void setDutyBehaviour(duty_behaviour behaviour) { m_dutyBehaviour = behaviour; }
+    /// Sets the time of day of a daemon's host, relative to true time.
+    void setClockOffset(std::size_t daemon, milliseconds offset)
+    {
+        m_daemons.at(daemon).clockOffset = offset;
+    }
+    /// Reports of usage that the platform took, and requests that upstreams began, by window.
+    const std::map<std::uint64_t, node::usage_counts> &usageReports() const { return m_usageReports; }
+    const std::map<std::uint64_t, node::usage_counts> &trueUsage() const { return m_trueUsage; }
+    std::uint64_t trueWindow() const;
+    std::optional<std::size_t> dutyHolder() const;
+    std::size_t dutyCalls() const { return m_dutyCalls; }
+    /// Number of times that another holder made calls.
+    std::size_t dutyTurns() const { return m_dutyTurns.size(); }
+
     /// Adds a reward call to each item of a batch.
     static node::batch withRewards(node::batch submitted, const std::string &path = "/plain/reward");
     /// The upstreams answer this request with status 500 whenever they run it.
@@ -253,6 +280,7 @@
         bool up = false;
         bool storeUnreachable = false;
         std::optional<instant> staleSince;
+        milliseconds clockOffset{0};
         upstream_cut cut = upstream_cut::none;
         instant frozenUntil{};
         /// Incremented with each start and kill; events of an earlier generation are dropped.
@@ -309,6 +337,12 @@
     void crashUnder(const node::forward_call &request);
     void orderWeights(std::size_t daemon, const node::order_weights &request);
     void reportStatus(std::size_t daemon, const node::request_upstream_status &request);
+    wall_time wallTimeOf(std::size_t daemon) const;
+    void callDuty(std::size_t daemon, const node::call_duty &call);
+    /// Checks that holders take turns as they may, and that no window is reported with different counts.
+    void checkDutyCall(std::size_t daemon, std::uint64_t generation, const node::call_duty &call);
+    /// Records that an upstream began a request.
+    void recordBegun(const node::client_call &call);
     void writeUpstreamRow(const simulated_upstream &upstream);
     void writeUpstreamHeartbeats();
     void checkResults(const node::commit_rows &transaction);
@@ -374,6 +408,23 @@
     std::map<exchange_id, std::pair<std::size_t, node::op_id>> m_deltaRequests;
     double m_storeReads = 0;
     std::optional<milliseconds> m_revocationBound;
+    std::optional<node::duty_settings> m_dutySettings;
+    duty_behaviour m_dutyBehaviour = duty_behaviour::answers;
+    /// Calls of one holder, without one of another in between.
+    struct duty_turn
+    {
+        std::size_t daemon = 0;
+        std::uint64_t generation = 0;
+        fencing_number fencing;
+        instant lastCallAt{};
+    };
+    std::vector<duty_turn> m_dutyTurns;
+    std::size_t m_dutyCalls = 0;
+    /// Counts of the first report that was sent for each window, and of the first that was taken.
+    std::map<std::uint64_t, node::usage_counts> m_sentReports;
+    std::map<std::uint64_t, node::usage_counts> m_usageReports;
+    std::map<std::uint64_t, node::usage_counts> m_trueUsage;
+    std::set<std::string> m_begun;
     std::size_t m_readCount = 0;
     std::size_t m_runsStarted = 0;
     std::size_t m_claimCount = 0;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -282,6 +282,7 @@
         return;
     }
     crashUnder(request);
+    recordBegun(request.call);
     ++target->calls;
     target->maxCalls = std::max(target->maxCalls, target->calls);
     m_calls[{daemon, request.op}] = request.upstream;
