--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -441,6 +441,32 @@
 }
 
 // The parser kept an event of any size and searched it from its begin for each piece.
+TEST(platform_wire, callOfADutyNamesItsHolderAndFencingNumber)
+{
+    const call_http usage = platform::encodeDutyCall(
+            {op_id{1}, usage_report{353445120, {{"huka270", 412}, {"puhu251", 3}}}, {"h1"}, {12}});
+    EXPECT_EQ(usage.path, "/usage");
+    EXPECT_EQ(usage.headers.at("Jacinthvale-Duty-Holder"), "h1");
+    EXPECT_EQ(usage.headers.at("Jacinthvale-Fencing-Token"), "12");
+    EXPECT_EQ(nlohmann::json::parse(usage.body),
+              nlohmann::json::parse(R"({"window_id":353445120,"counts":{"huka270":412,"puhu251":3}})"));
+    const call_http empty = platform::encodeDutyCall({op_id{1}, usage_report{7, {}}, {"h1"}, {12}});
+    EXPECT_EQ(nlohmann::json::parse(empty.body), nlohmann::json::parse(R"({"window_id":7,"counts":{}})"));
+}
+
+// Only the status of an answer counts; its body may be anything.
+TEST(platform_wire, answerToACallOfADutyCountsByItsStatus)
+{
+    const auto endOf = [](transfer_outcome outcome, int status) {
+        return platform::decodeDutyAnswer(op_id{1}, {{}, outcome, status, {}, std::string("\0{]", 3)}).end;
+    };
+    EXPECT_EQ(endOf(transfer_outcome::complete, 200), call_end::complete);
+    EXPECT_EQ(endOf(transfer_outcome::complete, 429), call_end::failed);
+    EXPECT_EQ(endOf(transfer_outcome::complete, 500), call_end::failed);
+    EXPECT_EQ(endOf(transfer_outcome::timed_out, 0), call_end::timed_out);
+    EXPECT_EQ(endOf(transfer_outcome::nothing_sent, 0), call_end::unreachable);
+}
+
 TEST(platform_wire, eventWithoutEndIsDropped)
 {
     platform::sse_parser parser;
