The need holds for two due times, and reclaimed zones are avoided for a minute

Cause: the orders followed the load within a step, and 15 s after a reclaim the upstreams were exchanged again: each new one costs new connections and loads of weights. Change: the largest need of twice the due time holds; three steps of each trainer before anything is given up; avoidance of 60 s.

--- a/include/jacinthvale/node_scaling.h
+++ b/include/jacinthvale/node_scaling.h
@@ -98,7 +98,7 @@
     std::map<upstream_pool, unsigned> orders;
     /// Open and recent steps; those of the last minutes are enough.
     std::vector<trainer_step> steps;
-    /// Trainers that are to be expected; until two steps of each were seen, no upstream is given up.
+    /// Trainers that are to be expected; until some steps of each were seen, no upstream is given up.
     std::vector<std::string> trainers;
     /// Slots in use by calls and streams.
     std::uint64_t callSlots = 0;
@@ -123,11 +123,22 @@
     auto operator<=>(const pool_memory &) const = default;
 };
 
+/// Upstreams that were needed at a time of the store's clock.
+struct past_need
+{
+    std::uint64_t atMs = 0;
+    unsigned needed = 0;
+
+    auto operator<=>(const past_need &) const = default;
+};
+
 struct scaling_memory
 {
     std::map<upstream_pool, pool_memory> pools;
     /// Upstreams that the last decision needed; 0 before the first one.
     unsigned needed = 0;
+    /// Needs of the last steps, each larger than the later ones, oldest first.
+    std::vector<past_need> peaks;
 
     auto operator<=>(const scaling_memory &) const = default;
 };
--- a/src/node_scaling_decision.cpp
+++ b/src/node_scaling_decision.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t kRememberedSteps = 3;
 
 /// Steps of each trainer that must have been seen before upstreams are given up.
-constexpr std::size_t kStepsBeforeLowering = 2;
+constexpr std::size_t kStepsBeforeLowering = 3;
 
 /// A trainer without a new step for this many times the time in which its steps are due has stopped.
 constexpr std::uint64_t kStoppedAfterDueTimes = 5;
@@ -39,6 +39,9 @@
 /// The need is rounded up to steps of this part of it, so that small changes of the load order nothing.
 constexpr unsigned kNeedStepPart = 8;
 
+/// Times that steps take until they are due for which the largest need holds.
+constexpr std::uint64_t kPeakDueTimes = 2;
+
 /// The number is lowered only if the need has fallen below this share of the one before, so that it doesn't
 /// follow small changes of the load.
 constexpr double kLowerBelowShare = 0.85;
@@ -52,8 +55,8 @@
 
 /// Time for which the reclaimable upstreams of a zone are avoided after a reclaim; doubles with each one, up
 /// to the maximum.
-constexpr std::uint64_t kReclaimAvoidanceMs = 15'000;
-constexpr std::uint64_t kMaxReclaimAvoidanceMs = 300'000;
+constexpr std::uint64_t kReclaimAvoidanceMs = 60'000;
+constexpr std::uint64_t kMaxReclaimAvoidanceMs = 600'000;
 
 /// Time after which a refused order is tried again.
 constexpr std::uint64_t kRefusalAvoidanceMs = 6000;
@@ -205,6 +208,31 @@
     return need;
 }
 
+/// @returns the longest time from the acceptance of a step until it is due.
+std::uint64_t longestDueMs(const scaling_input &input)
+{
+    return ranges::accumulate(
+            input.steps, std::uint64_t{0}, [](std::uint64_t longest, const trainer_step &step) {
+                return std::max(longest, step.dueAtMs - std::min(step.dueAtMs, step.acceptedAtMs));
+            });
+}
+
+/// Records the need of this decision. @returns the need that the plan answers: the largest of the given time,
+/// in steps, and not lowered for little.
+unsigned updateNeed(scaling_memory &memory, unsigned needed, std::uint64_t peakTimeMs, std::uint64_t nowMs)
+{
+    std::erase_if(memory.peaks, [&](const past_need &past) {
+        return past.needed <= needed || past.atMs + peakTimeMs < nowMs;
+    });
+    memory.peaks.push_back({nowMs, needed});
+    const unsigned peak = memory.peaks.front().needed;
+    const unsigned step = std::max(1U, peak / kNeedStepPart);
+    const unsigned rounded = (peak + step - 1) / step * step;
+    const bool isFalling = rounded < kLowerBelowShare * memory.needed;
+    memory.needed = isFalling ? rounded : std::max(rounded, memory.needed);
+    return memory.needed;
+}
+
 // Where the upstreams shall be.
 
 /// Upstreams that are left when the `zones` largest groups of reclaimable ones are gone.
@@ -439,12 +467,8 @@
     const auto zones = static_cast<unsigned>(zonesOf(input).size());
     const double upstreams = std::min<double>(std::ceil(need.total / std::max(1U, input.slotsPerUpstream)),
                                               static_cast<double>(input.limits.maximum) * zones);
-    const auto exact = std::max(1U, static_cast<unsigned>(upstreams));
-    const unsigned step = std::max(1U, exact / kNeedStepPart);
-    const unsigned needed = (exact + step - 1) / step * step;
-    const bool isFalling = needed < kLowerBelowShare * memory.needed;
-    decision.needed = isFalling ? needed : std::max(needed, memory.needed);
-    decision.memory.needed = decision.needed;
+    decision.needed = updateNeed(decision.memory, std::max(1U, static_cast<unsigned>(upstreams)),
+                                 kPeakDueTimes * longestDueMs(input), input.nowMs);
 
     const pool_counts plan = planPools(input, decision.memory, decision.needed);
     const pool_counts before = decision.orders;
