Shared parts of running items count once in the memory of their upstream

Cause: the parts that an upstream holds were estimated within the memory that reservations leave, and these contain the prompts themselves: with prompts of 6,000 tokens one or two parts counted as held.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -131,6 +131,8 @@
     double reservedTokens = 0;
     /// Prompt tokens that the upstream reads for this run; 0 after its first chunk.
     double readingTokens = 0;
+    /// Tokens of the shared part of its prompt, while it runs.
+    double sharedTokens = 0;
     /// The item belongs to a group that the trainer does not wait for.
     bool isSurplus = false;
     /// Score of `text`; empty until the reward call succeeded.
@@ -329,6 +331,9 @@
     double reservedTokens = 0;
     /// Prompt tokens of the runs of this process there that have produced no chunk yet.
     double readingTokens = 0;
+    /// Tokens of the shared parts of the prompts of all runs of this process there; an upstream holds each of
+    /// these parts once.
+    double sharedTokens = 0;
     /// Prompt parts that this process had read there.
     held_prompts heldPrompts;
     unsigned consecutiveFailures = 0;
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -106,6 +106,9 @@
 void detachRun(step &s, owned_item &item)
 {
     endReading(s, item);
+    if (const auto found = s.state.upstreams.find(item.upstream); found != s.state.upstreams.end()) {
+        found->second.sharedTokens = std::max(0.0, found->second.sharedTokens - item.sharedTokens);
+    }
     releaseReservation(s, item);
     s.state.ops.erase(item.run);
     item.run = {};
@@ -132,7 +135,10 @@
     view.readingTokens += item.readingTokens;
     const auto limits = s.state.config.engines.find(view.entry.service);
     const double memory = limits == s.state.config.engines.end() ? 0 : limits->second.memoryTokens;
-    view.heldPrompts.recordUse(prompt, view.entry.weights, std::max(0.0, memory - view.reservedTokens));
+    item.sharedTokens = prompt.tokens();
+    view.sharedTokens += item.sharedTokens;
+    const double ownTokens = std::max(0.0, view.reservedTokens - view.sharedTokens);
+    view.heldPrompts.recordUse(prompt, view.entry.weights, std::max(0.0, memory - ownTokens));
     batch.promptTokensSent += tokens;
     batch.promptTokensHeld += tokens - item.readingTokens;
     s.emit(count{"prompt_tokens_sent_total", tokens});
