--- a/tests/test_node_placement.cpp
+++ b/tests/test_node_placement.cpp
@@ -285,7 +285,7 @@
     {
         for (std::size_t i = 0; i < count; ++i) {
             const upstream_id id{"e" + std::to_string(10 + m_state.upstreams.size())};
-            upstream_view &view = m_state.upstreams[id];
+            node::upstream_view &view = m_state.upstreams[id];
             view.entry.id = id;
             view.entry.service = {"engines"};
             view.entry.slots = 6;
