Steps pass their work in a third of the time until they are due, so that fewer upstreams do not slow them

Work was planned to pass in 0.6 of the time until due, and the longest items take 4 s of 7.5 s alone. Ruled out: no scaling (nothing answers reclaims and rising work). Change: 0.35 of that time.

--- a/src/node_scaling_decision.cpp
+++ b/src/node_scaling_decision.cpp
@@ -22,7 +22,7 @@
 
 /// Share of the time until a step is due in which its work shall pass through the slots; the rest is left for
 /// its longest item, which runs alone at the end.
-constexpr double kQueueShare = 0.6;
+constexpr double kQueueShare = 0.35;
 
 /// Shortest time in which work that is late, or nearly so, is planned to pass.
 constexpr double kMinWindowMs = 500;
