The weights lease uses the lease module; a released lease of the duties is taken over in turn

Cause: two copies of the decisions of a lease; and after a release all daemons wrote the duties' row in the same moment. Change: weights_leader is a lease_state with the plan and the orders; acquisition, renewal, expiry and rows go through node_leases.h. Rows, times and conditions are as before, with three exceptions: a commit that is older than the known row no longer makes its process the holder; a renewal that commits after the process began to retire is followed by the row that releases the lease (before, the lease ended without one and a successor waited 1.8 s); one that commits after the lease had expired goes on under the number in its row. Daemons that see the duties' lease released wait for their share of the spread.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -616,26 +616,9 @@
     bool isOpen() const { return sinceMs > confirmedMs; }
 };
 
-/// Lease for ordering loads of weights: the last known lease row, and the orders of this process while it is
-/// the holder.
-struct weights_leader
+/// Lease for ordering loads of weights, and the orders of this process while it is the holder.
+struct weights_leader : lease_state
 {
-    fencing_number epoch;
-    host_id holder;
-    std::uint64_t rowVersion = 0;
-    bool rowKnown = false;
-    /// When this process observed the last change of the lease row.
-    instant changedAt{};
-    /// Incarnation of the holder according to the row.
-    incarnation_id holderIncarnation;
-    bool released = false;
-    /// This process holds the lease.
-    bool held = false;
-    /// No order is sent after this time unless the lease is renewed.
-    instant heldUntil{};
-    instant renewSentAt{};
-    instant nextAt{};
-    op_id op;
     /// Upstreams to which the last lease row lets the holder send orders, with the store time of the row that
     /// listed them. A successor sends them no orders for a while.
     std::map<upstream_id, std::uint64_t> planned;
--- a/src/node_duties.cpp
+++ b/src/node_duties.cpp
@@ -58,12 +58,7 @@
 bool isAvailable(const step &s)
 {
     const lease_state &lease = s.state.duties.lease;
-    std::optional<incarnation_id> replacement;
-    const auto found = s.state.members.find(lease.claim.holder);
-    if (found != s.state.members.end() && found->second.rowVersion > lease.rowVersion) {
-        replacement = found->second.incarnation;
-    }
-    return mayAcquire(lease, s.state.self.host, s.state.incarnation, replacement,
+    return mayAcquire(lease, s.state.self.host, s.state.incarnation, replacementOf(s.state, lease),
                       s.ctx.now - acquireDelay(s.state));
 }
 
@@ -145,6 +140,14 @@
 
 } // namespace
 
+std::optional<incarnation_id> replacementOf(const node_state &state, const lease_state &lease)
+{
+    const auto found = state.members.find(lease.claim.holder);
+    return found != state.members.end() && found->second.rowVersion > lease.rowVersion
+                   ? std::optional(found->second.incarnation)
+                   : std::nullopt;
+}
+
 bool isDutyHolder(const step &s)
 {
     return !s.state.stopping && isHeldFor(s.state.duties.lease, kCallMargin, s.ctx.now)
@@ -224,6 +227,9 @@
                    applyLeaseRow(duties.lease, row->claim, changed.version, s.state.self.host,
                                  s.state.incarnation, s.ctx.now),
                    "held by " + row->claim.holder.value);
+    if (row->claim.released && !duties.lease.held) {
+        duties.lease.nextAt = std::max(duties.lease.nextAt, s.ctx.now + acquireDelay(s.state));
+    }
 }
 
 void onDutyLeaseCommitted(step &s, const rows_committed &committed)
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -360,6 +360,8 @@
 void onOrderEnded(step &s, const order_operation &operation, const call_ended &end);
 
 // Duties (node_duties.cpp).
+/// @returns the incarnation that the host of a lease's holder reported after the lease row was written.
+std::optional<incarnation_id> replacementOf(const node_state &state, const lease_state &lease);
 /// True if this process may make calls of the duties now.
 bool isDutyHolder(const step &s);
 /// @returns the record that the lease row shall hold; it is written at once. Only for the holder.
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -103,10 +103,10 @@
 void writeLease(step &s, bool release)
 {
     weights_leader &lease = s.state.weightsLeader;
-    lease_row row{s.state.self.host, s.state.incarnation, lease.epoch, release, {}, {}};
-    if (!lease.held) {
-        ++row.epoch.value;
-    }
+    const op_id op = s.open(lease_operation{lease_id::weights});
+    const lease_claim claim
+            = beginLeaseWrite(lease, op, s.state.self.host, s.state.incarnation, release, s.ctx.now);
+    lease_row row{claim.holder, claim.incarnation, claim.epoch, claim.released, {}, {}};
     lease.renewalPlan = nextPlan(s);
     for (const auto &[id, listedAtMs] : lease.renewalPlan) {
         row.planned.emplace(id.value, listedAtMs);
@@ -116,9 +116,7 @@
         return load.seenAtMs + static_cast<std::uint64_t>(kLoadAdvertiseTime.count()) < now;
     });
     row.loaded = lease.loaded;
-    lease.renewSentAt = s.ctx.now;
-    lease.op = s.open(lease_operation{});
-    s.emit(commit_rows{lease.op,
+    s.emit(commit_rows{op,
                        "",
                        {{table_id::leases, kWeightsLeaseKey, lease.rowVersion}},
                        {{table_id::leases, kWeightsLeaseKey, encodeLease(row)}},
@@ -142,21 +140,17 @@
     s.state.weightsLeader.orders.clear();
 }
 
-void loseLease(step &s, const std::string &reason)
+/// The lease of this process has ended.
+void onLeaseLost(step &s, const std::string &reason)
 {
-    weights_leader &lease = s.state.weightsLeader;
-    if (lease.held) {
-        s.log("lease-lost", kWeightsLeaseKey, reason);
-    }
-    lease.held = false;
+    s.log("lease-lost", kWeightsLeaseKey, reason);
     dropOrders(s);
-    lease.blockedUntil.clear();
+    s.state.weightsLeader.blockedUntil.clear();
 }
 
 bool mayOrder(const step &s)
 {
-    return s.state.weightsLeader.held && s.ctx.now < s.state.weightsLeader.heldUntil
-           && !isRetiring(s.state, s.ctx.now);
+    return isHeldFor(s.state.weightsLeader, milliseconds{0}, s.ctx.now) && !isRetiring(s.state, s.ctx.now);
 }
 
 /// True if the last lease row lists the upstream for this order, so that a successor knows of it.
@@ -313,21 +307,11 @@
     }
 }
 
-/// True if the lease may be acquired: it has no holder, or its holder can send no more orders.
 bool isLeaseAvailable(const step &s)
 {
     const weights_leader &lease = s.state.weightsLeader;
-    if (!lease.rowKnown || lease.released
-        || s.ctx.now - lease.changedAt >= kLeaseValidity + kLeaseSuccessorMargin) {
-        return true;
-    }
-    // The holder's process has ended if its host reports another incarnation.
-    if (lease.holder == s.state.self.host) {
-        return lease.holderIncarnation != s.state.incarnation;
-    }
-    const auto found = s.state.members.find(lease.holder);
-    return found != s.state.members.end() && found->second.incarnation != lease.holderIncarnation
-           && found->second.rowVersion > lease.rowVersion;
+    return mayAcquire(lease, s.state.self.host, s.state.incarnation, replacementOf(s.state, lease),
+                      s.ctx.now);
 }
 
 } // namespace
@@ -347,8 +331,8 @@
     if (!s.state.configKnown || !feedOf(s.state, table_id::leases).synced) {
         return;
     }
-    if (lease.held && s.ctx.now >= lease.heldUntil) {
-        loseLease(s, "not renewed in time");
+    if (expireLease(lease, s.ctx.now) == lease_change::lost) {
+        onLeaseLost(s, "not renewed in time");
     }
     if (isRetiring(s.state, s.ctx.now)) {
         if (lease.held && lease.op.value == 0) {
@@ -384,13 +368,9 @@
     if (changed.version <= lease.rowVersion) {
         return;
     }
-    lease.rowKnown = true;
-    lease.rowVersion = changed.version;
-    lease.changedAt = s.ctx.now;
-    lease.holder = row->holder;
-    lease.holderIncarnation = row->incarnation;
-    lease.epoch = row->epoch;
-    lease.released = row->released;
+    const lease_claim claim{row->holder, row->incarnation, row->epoch, row->released};
+    const lease_change change
+            = applyLeaseRow(lease, claim, changed.version, s.state.self.host, s.state.incarnation, s.ctx.now);
     std::map<upstream_id, std::uint64_t> plan;
     for (const auto &[id, listedAtMs] : row->planned) {
         plan.emplace(upstream_id{id}, listedAtMs);
@@ -403,38 +383,29 @@
             advanceWeightVersion(found->second.entry, load.model, load.version);
         }
     }
-    if (lease.held && (row->holder != s.state.self.host || row->incarnation != s.state.incarnation)) {
-        loseLease(s, "held by " + row->holder.value);
+    if (change == lease_change::lost) {
+        onLeaseLost(s, "held by " + row->holder.value);
     }
 }
 
 void onLeaseCommitted(step &s, const rows_committed &committed)
 {
     weights_leader &lease = s.state.weightsLeader;
-    lease.op = {};
-    lease.rowVersion = std::max(lease.rowVersion, committed.version);
-    lease.rowKnown = true;
-    lease.changedAt = s.ctx.now;
-    lease.nextAt = lease.renewSentAt + kLeaseRenewPeriod;
-    lease.heldUntil = lease.renewSentAt + kLeaseValidity;
-    if (isRetiring(s.state, s.ctx.now)) {
-        if (lease.held) {
-            s.log("lease-released", kWeightsLeaseKey);
-        }
-        lease.held = false;
+    const bool isLatest = committed.version >= lease.rowVersion;
+    const lease_change change = applyLeaseCommit(lease, committed.version, s.ctx.now);
+    if (!isLatest) {
         return;
     }
-    if (!lease.held) {
-        lease.held = true;
-        ++lease.epoch.value;
-        lease.holder = s.state.self.host;
-        lease.holderIncarnation = s.state.incarnation;
-        lease.released = false;
+    if (change == lease_change::released) {
+        s.log("lease-released", kWeightsLeaseKey);
+        return;
+    }
+    if (change == lease_change::taken) {
         for (const auto &[id, listedAtMs] : lease.planned) {
             lease.blockedUntil[id] = listedAtMs + blockTimeMs(s.state);
         }
         s.log("lease-taken", kWeightsLeaseKey,
-              "fencing number " + std::to_string(lease.epoch.value)
+              "fencing number " + std::to_string(lease.claim.epoch.value)
                       + ", upstreams blocked by the former holder's orders "
                       + std::to_string(lease.blockedUntil.size()));
     }
@@ -444,9 +415,7 @@
 
 void onLeaseConflict(step &s, const rows_conflict &conflict)
 {
-    weights_leader &lease = s.state.weightsLeader;
-    lease.op = {};
-    lease.nextAt = s.ctx.now + kLeaseRenewPeriod;
+    applyLeaseFailure(s.state.weightsLeader, s.ctx.now, kLeaseRenewPeriod);
     for (const row &currentRow : conflict.rows) {
         if (currentRow.key.table == table_id::leases && currentRow.version != 0) {
             onLeaseRow(s, currentRow);
@@ -456,8 +425,7 @@
 
 void onLeaseFailed(step &s)
 {
-    s.state.weightsLeader.op = {};
-    s.state.weightsLeader.nextAt = s.ctx.now + kTickPeriod;
+    applyLeaseFailure(s.state.weightsLeader, s.ctx.now, kTickPeriod);
 }
 
 void onUpstreamStatus(step &s, const order_operation &operation, const upstream_status_received &report)
@@ -488,7 +456,7 @@
     s.emit(count{"weight_orders"});
     order.op = s.open(order_operation{operation.upstream});
     s.emit(order_weights{order.op, view->second.entry.address, operation.upstream, order.model, order.version,
-                         s.state.self.host, s.state.weightsLeader.epoch, report.orders});
+                         s.state.self.host, s.state.weightsLeader.claim.epoch, report.orders});
 }
 
 void onOrderEnded(step &s, const order_operation &operation, const call_ended &end)
