A body over the configured limit is 413 with its reason; rejected requests are logged

Cause: the configuration names the most bytes that a client may send, and only the setting maxBodyBytes was applied, twice as much where nobody sets it. A request that the adapter answered itself (malformed, 400) left no log line.

A body over maxBodyBytes is still rejected by the HTTP library, 413 without a line.

--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -104,6 +104,8 @@
     std::map<service_id, engine_limits> engines;
     /// nullopt where requests need no key.
     std::optional<account_table> accounts = {};
+    /// Most bytes of a request's body; 0 if the configuration names no limit.
+    std::size_t maxBodyBytes = 0;
     /// Services whose number of upstreams this system decides.
     std::map<service_id, scaling_limits> scaling = {};
 
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -476,7 +476,11 @@
 void node_runtime::onEntryRequest(const http_request_received &request)
 {
     std::visit(overloaded{[this](event &&incoming) { post(std::move(incoming)); },
-                          [this](reply_http &&answer) { reply(std::move(answer)); }},
+                          [this, &request](reply_http &&answer) {
+                              writeLog({"request-rejected", request.path,
+                                        absl::StrCat("status ", answer.status, ": ", answer.body)});
+                              reply(std::move(answer));
+                          }},
                m_port->decodeRequest(request, m_state.config));
 }
 
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -170,6 +170,23 @@
                                                         {"table":"items","part":"b3","key":"two"}])"));
 }
 
+TEST(platform_wire, bodyOverTheConfiguredLimitIsRejectedWithItsReason)
+{
+    std::string config = kConfig;
+    config.replace(config.find(R"("version":7)"), 11, R"("version":7,"limits":{"max_body_bytes":10})");
+    const decoded_row decoded = decode(table_id::operators, "config", config);
+    const auto *table = std::get_if<route_table>(&decoded);
+    ASSERT_NE(table, nullptr);
+    http_request_received request{{1}, "POST", "/x/y/1", {}, {{"Host", "a.example"}}, "0123456789", "/x/y/1"};
+    const auto port = platform::makePlatformPort();
+    EXPECT_TRUE(std::holds_alternative<node::event>(port->decodeRequest(request, *table)));
+    request.body += "0";
+    const decoded_request rejected = port->decodeRequest(request, *table);
+    ASSERT_TRUE(std::holds_alternative<reply_http>(rejected));
+    EXPECT_EQ(std::get<reply_http>(rejected).status, 413);
+    EXPECT_EQ(std::get<reply_http>(rejected).body, R"({"error":"body of 11 bytes, limit 10"})");
+}
+
 TEST(platform_wire, batchThatCannotBeStoredIsTooLargeAndDoesNotComeBack)
 {
     const auto reply = platform::makePlatformPort()->encodeReply(refuse_call{{1}, refusal::not_storable, {}});
