--- a/tests/test_node_pages.cpp
+++ b/tests/test_node_pages.cpp
@@ -34,7 +34,7 @@
         const effects requested = apply(page_requested{exchange_id{++m_exchanges}, m_batch, after, {}});
         const auto *rows = find<read_rows>(requested);
         EXPECT_NE(rows, nullptr);
-        const std::size_t end = std::min(kBatchSize, *resultPosition(rows->to));
+        const std::size_t end = std::min(kBatchSize, resultFragment(rows->to)->position);
         rows_received answer{rows->op, {}, 7, 1, false};
         std::size_t bytes = 0;
         for (std::size_t position = after; position < end; ++position) {
