A daemon without a configuration reads the head row of a batch before it decides on a key

Before accounts it read the row and answered. Ruled out: waiting for the configuration in the test; it shows a change for deployments without accounts. Change: while no configuration is known the head row decides: batches without an account are served, those of an account are refused as not run. Test node_accounts.batchOfAnAccountIsNotDeniedBeforeTheConfigurationIsKnown.

--- a/src/node_access.cpp
+++ b/src/node_access.cpp
@@ -13,6 +13,14 @@
     return age ? std::to_string(age->count()) + " ms" : std::string("unknown");
 }
 
+/// Batches of public routes exist for everybody; those of accounts are then unknown without their key.
+bool hasPublicBatches(const node_state &state)
+{
+    return std::ranges::any_of(state.config.routes, [](const route &candidate) {
+        return candidate.kind == route_kind::batch && candidate.isPublic;
+    });
+}
+
 } // namespace
 
 std::optional<milliseconds> admissionLimitOf(const node_state &state)
@@ -51,16 +59,13 @@
 std::optional<account_id> admitBatchRequest(step &s, exchange_id exchange, const batch_id &id,
                                             const credential &key)
 {
-    // A batch that was accepted without a key exists for everybody, also while no configuration is known.
+    // A batch that was accepted without a key exists for everybody, also while no configuration is known. Its
+    // head row tells.
     const auto head = s.state.heads.find(id);
-    if (!s.state.configKnown && head != s.state.heads.end() && head->second.spec.account.empty()) {
+    if (!s.state.configKnown && (head == s.state.heads.end() || head->second.spec.account.empty())) {
         return account_id{};
     }
-    // Batches of public routes exist for everybody; those of accounts are then unknown without their key.
-    const bool hasPublicBatches = std::ranges::any_of(s.state.config.routes, [](const route &candidate) {
-        return candidate.kind == route_kind::batch && candidate.isPublic;
-    });
-    return admitRequest(s, exchange, id.value, key, hasPublicBatches);
+    return admitRequest(s, exchange, id.value, key, hasPublicBatches(s.state));
 }
 
 void refuseForeignBatch(step &s, exchange_id exchange, const batch_id &id, const account_id &account)
@@ -68,6 +73,12 @@
     s.log("batch-of-another-account", id.value,
           account.empty() ? std::string("asked without a key") : "asked with a key of " + account.value);
     s.emit(count{"foreign_batch_requests"});
+    // The request came before the configuration was known: its key has not been looked at.
+    if (account.empty() && (!s.state.configKnown || !hasPublicBatches(s.state))) {
+        const access_verdict unknown = authenticate({});
+        s.emit(refuse_call{exchange, refusal::not_run, std::get<access_undecided>(unknown).retryAfter});
+        return;
+    }
     s.emit(refuse_call{exchange, refusal::not_found, {}});
 }
 
--- a/tests/test_node_accounts.cpp
+++ b/tests/test_node_accounts.cpp
@@ -326,6 +326,29 @@
     EXPECT_EQ(refusalOf(*simulation, end), refusal::not_found);
 }
 
+TEST(node_accounts, batchOfAnAccountIsNotDeniedBeforeTheConfigurationIsKnown)
+{
+    const batch_id id{"b1"};
+    batch_head head;
+    head.total = 1;
+    head.spec.account = kFirst;
+    node_state state = makeNodeState({});
+    const context ctx{instant{milliseconds{1000}}, {}, 1};
+    // The account of the batch is told by its head row, which is read first.
+    const effects reading = reduce(state, page_requested{{1}, id, 0, {}, kFirstKey}, ctx);
+    const auto read = std::ranges::find_if(
+            reading, [](const effect &e) { return std::holds_alternative<read_rows>(e); });
+    ASSERT_NE(read, reading.end());
+    const row stored{{table_id::heads, batchPartition(id), id.value}, 3, encodeHead(head), false};
+    const effects answered
+            = reduce(state, rows_received{std::get<read_rows>(*read).op, {{stored, {}}}, 3, 1, false}, ctx);
+    const auto refused = std::ranges::find_if(
+            answered, [](const effect &e) { return std::holds_alternative<refuse_call>(e); });
+    ASSERT_NE(refused, answered.end());
+    EXPECT_EQ(std::get<refuse_call>(*refused).reason, refusal::not_run);
+    EXPECT_GT(std::get<refuse_call>(*refused).retryAfter, milliseconds{0});
+}
+
 TEST(node_accounts, sameIdOfTwoAccountsIsAcceptedOnce)
 {
     const auto simulation = makeFleet(7);
