Zones with more upstreams than the limits allow, ordered by others, are left as they are

Ruled out: raising the maximum in the decision (the platform refuses orders beyond it). Change: no order where nobody of this system has ordered yet and more upstreams serve than the maximum. Test node_scaling.upstreamsBeyondTheLimitsThatOthersOrderedAreLeftAlone.

--- a/src/node_scaling_decision.cpp
+++ b/src/node_scaling_decision.cpp
@@ -438,6 +438,16 @@
     }
 }
 
+/// True if a zone has more upstreams than the limits allow and none were ordered there: others decide how
+/// many there are, and any order within the limits would take away upstreams at work.
+bool isSizedByOthers(const scaling_input &input, const availability_zone_id &zone)
+{
+    const upstream_pool lasting{zone, false};
+    const upstream_pool reclaimable{zone, true};
+    return !input.orders.contains(lasting) && !input.orders.contains(reclaimable)
+           && supplyOf(input, lasting).serving + supplyOf(input, reclaimable).serving > input.limits.maximum;
+}
+
 } // namespace
 
 scaling_memory afterRefusal(scaling_memory memory, const upstream_pool &pool, std::uint64_t nowMs)
@@ -461,6 +471,11 @@
             decision.orders[pool] = ranges::count(reclaimed, pool) > 0 ? 0 : orderedIn(input, pool);
         }
     }
+    const std::vector<availability_zone_id> allZones = zonesOf(input);
+    if (std::ranges::any_of(allZones, [&](const auto &zone) { return isSizedByOthers(input, zone); })) {
+        decision.reason = "more upstreams than the limits allow, ordered by others";
+        return decision;
+    }
     const slot_need need = needOf(input);
     decision.openSlots = need.open;
     decision.expectedSlots = need.expected;
--- a/tests/test_node_scaling.cpp
+++ b/tests/test_node_scaling.cpp
@@ -333,4 +333,24 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+// Pattern: a service with far more upstreams than the limits allow, all at work.
+TEST(node_scaling, upstreamsBeyondTheLimitsThatOthersOrderedAreLeftAlone)
+{
+    simulated_pools pools(100);
+    for (const char *trainer : {"m0", "m1"}) {
+        for (int step = 0; step < 4; ++step) {
+            pools.submit(trainer, 500'000);
+        }
+    }
+    const scaling_decision decision = decideUpstreams(pools.input, pools.memory);
+    EXPECT_TRUE(
+            ranges::all_of(kZones, [&](const std::string &zone) { return inZone(decision, zone) == 100; }));
+    // Once orders of this system are in force, a lower maximum holds.
+    for (const std::string &zone : kZones) {
+        pools.input.orders[{{zone}, false}] = 100;
+    }
+    const scaling_decision lowered = decideUpstreams(pools.input, pools.memory);
+    EXPECT_LT(total(lowered.orders, false) + total(lowered.orders, true), 300U);
+}
+
 } // namespace jacinthvale
