--- a/review/3/run.py
+++ b/review/3/run.py
@@ -17,9 +17,9 @@
 GRACE_S, SLACK_S = 8.0, 0.2  # grace_s, loss_slack_ms
 EARLY_S = 3.0               # Requests sent up to then may be cut in the last sixth of the grace.
 CALLERS = 51                # clients of the site
-IDLE_S = (2.0, 8.0)         # Pause of a caller between two requests; connections may idle for 12 s.
+IDLE_S = (4.0, 11.0)        # Pause of a caller between two requests; connections may idle for 12 s.
 WORK_S = (0.025, 0.19)      # Work of a quote: its mean and its longest; deadline and timeout are 2 s.
-EVENTS, EVENT_S = 60, 0.1   # Half of the requests ask for a stream of 6 s; deadline and timeout are 20 s.
+EVENTS, EVENT_S = 60, 0.1   # Four of five requests ask for a stream of 6 s; deadline, timeout: 20 s.
 
 
 class Balancer:
@@ -121,7 +121,7 @@
                     await asyncio.sleep(0.1)
                     continue
             attempt = f"q{next(self.numbers):08x}"
-            path = draw.choice([wire.STREAM_PREFIX + "letter", wire.SAFE_PREFIX + "quote"])
+            path = draw.choice([wire.STREAM_PREFIX + "letter"] * 4 + [wire.SAFE_PREFIX + "quote"])
             left_ms = 20000 if path.startswith(wire.STREAM_PREFIX) else 2000
             answer = await self.exchange(client, daemon, reader, writer, "POST", path,
                                          wire.client_headers(attempt, left_ms), b"text")
