--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -441,8 +441,6 @@
 int node_runtime::run()
 {
     event_base_dispatch(m_base);
-    writeLog({"stop", m_settings.identity.host.value,
-              "event loop ended after all replies were sent or the stop grace time was over"});
     return 0;
 }
 
@@ -791,11 +789,16 @@
     if (m_exiting) {
         return;
     }
-    const bool idle = m_entryServer->openExchanges() == 0 && !m_entryServer->hasUnsentBytes();
+    const std::size_t open = m_entryServer->openExchanges();
+    const bool idle = open == 0 && !m_entryServer->hasUnsentBytes();
     const milliseconds elapsed = now() - m_stopRequestedAt;
     const bool graceOver = elapsed + kShutdownPollInterval * 2 >= m_settings.identity.stopGrace;
     if (graceOver || (idle && elapsed >= kMinShutdownTime)) {
         m_exiting = true;
+        writeLog({"stop",
+                  m_settings.identity.host.value,
+                  idle ? "all replies are sent" : "the stop grace time is over",
+                  {{"openExchanges", static_cast<std::int64_t>(open)}, {"afterMs", elapsed.count()}}});
         event_base_loopbreak(m_base);
         return;
     }
