--- a/include/jacinthvale/http_server.h
+++ b/include/jacinthvale/http_server.h
@@ -43,7 +43,9 @@
     absl::Status listen(const endpoint &where);
     std::uint16_t port() const;
 
-    void reply(const reply_http &answer);
+    /// @returns false if a streamed answer had begun: its connection is closed, and nothing of this one is
+    /// sent.
+    bool reply(const reply_http &answer);
     void begin(const begin_reply &answer);
     void chunk(const reply_chunk &answer);
     void end(const end_reply &answer);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -166,20 +166,27 @@
         return ntohs(reinterpret_cast<sockaddr_in *>(&address)->sin_port);
     }
 
-    void reply(const reply_http &answer)
+    bool reply(const reply_http &answer)
     {
+        if (exchange *open = find(answer.exchange); open != nullptr && open->begun) {
+            // The reader would take a second head for a part of the stream.
+            giveUp(*open);
+            return false;
+        }
         evhttp_request *request = release(answer.exchange);
         if (request == nullptr) {
-            return;
+            return true;
         }
         addHeaders(request, answer.headers);
         const scratch_buffer body(answer.body);
         evhttp_send_reply(request, answer.status, nullptr, body.get());
+        return true;
     }
 
     void begin(const begin_reply &answer)
     {
         if (exchange *open = find(answer.exchange)) {
+            open->begun = true;
             addHeaders(open->request, answer.headers);
             evhttp_send_reply_start(open->request, answer.status, nullptr);
         }
@@ -263,6 +270,8 @@
         ::event *hangUp = nullptr;
         /// We gave the connection up; its close is no news.
         bool givenUp = false;
+        /// The head of a streamed answer is sent.
+        bool begun = false;
     };
 
     /// An answer that was handed over to evhttp as a whole and is not written yet.
@@ -284,7 +293,7 @@
         evhttp_connection *connection = evhttp_request_get_connection(request);
         const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
         ::event *hangUp = event_new(m_base, socket, EV_CLOSED, &implementation::hungUp, &open);
-        open = {this, id, request, connection, hangUp, false};
+        open = {this, id, request, connection, hangUp};
         event_add(hangUp, nullptr);
         evhttp_connection_set_closecb(connection, &implementation::closed, &open);
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
@@ -408,9 +417,9 @@
     return m_impl->port();
 }
 
-void http_server::reply(const reply_http &answer)
+bool http_server::reply(const reply_http &answer)
 {
-    m_impl->reply(answer);
+    return m_impl->reply(answer);
 }
 
 void http_server::begin(const begin_reply &answer)
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -552,7 +552,10 @@
     if (m_stopping) {
         answer.headers["Connection"] = "close";
     }
-    m_entryServer->reply(answer);
+    if (!m_entryServer->reply(answer)) {
+        writeLog({"reply-not-sent", std::to_string(answer.exchange.value),
+                  absl::StrCat("status ", answer.status, ", but a stream had begun; connection closed")});
+    }
 }
 
 void node_runtime::startStore(const store_effect &operation, milliseconds deadline)
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -55,6 +55,8 @@
     unsigned running = 0;
     unsigned maxRunning = 0;
     call_behaviour callBehaviour = call_behaviour::answers;
+    /// Status with which it answers requests for streams in place of events; 0 if it sends events.
+    int streamStatus = 0;
     unsigned calls = 0;
     unsigned maxCalls = 0;
 };
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -363,6 +363,14 @@
         deliverAfter(daemon, milliseconds{2}, call_ended{request.op, call_end::unreachable, 0, {}, {}});
         return;
     }
+    if (target->streamStatus != 0) {
+        const call_end end = target->streamStatus >= 500   ? call_end::failed
+                             : target->streamStatus == 422 ? call_end::permanently_rejected
+                                                           : call_end::complete;
+        deliverAfter(daemon, milliseconds{2},
+                     call_ended{request.op, end, target->streamStatus, {{"seal", "s"}}, "error text"});
+        return;
+    }
     ++m_streamRunCount;
     m_accountsSeen[request.call.id.value] = request.call.account;
     m_streamRuns[{daemon, request.op}] = {request, request.after, target->entry.startedAtMs};
--- a/tests/test_node_forwarded_streams.cpp
+++ b/tests/test_node_forwarded_streams.cpp
@@ -287,4 +287,54 @@
     RC_ASSERT(simulation.violationText() == "");
 }
 
+// Guards against the error of the next upstream in the middle of a stream that broke off, and against a
+// stream that ends as if it were complete.
+TEST(node_forwarded_streams, errorOfTheNextUpstreamIsNotPartOfTheStream)
+{
+    for (const int status : {400, 404, 422, 500, 503}) {
+        for (const char *path : {"/stream/1", "/fragile/1"}) {
+            node_simulation simulation(40);
+            simulation.run(kStartupTime);
+            const exchange_id exchange = simulation.requestStream(0, "s", path);
+            simulation.run(milliseconds{800});
+            ASSERT_TRUE(simulation.stream(exchange).begun);
+            const auto &streams = simulation.state(0).streams;
+            const upstream_id first = streams.at(exchange).upstream;
+            for (std::size_t upstream = 0; upstream < 4; ++upstream) {
+                if (simulation.upstream(upstream).entry.id == first) {
+                    simulation.crashUpstream(upstream);
+                } else {
+                    simulation.upstream(upstream).streamStatus = status;
+                }
+            }
+            simulation.run(milliseconds{8000});
+            EXPECT_TRUE(std::holds_alternative<std::monostate>(simulation.answer(exchange))) << status;
+            EXPECT_TRUE(simulation.stream(exchange).ended) << status;
+            EXPECT_FALSE(simulation.stream(exchange).complete) << status;
+            EXPECT_EQ(simulation.violationText(), "");
+        }
+    }
+}
+
+// An upstream breaks off before its first event: the answer of the next one is the caller's.
+TEST(node_forwarded_streams, errorBeforeTheFirstEventReachesTheCaller)
+{
+    node_simulation simulation(41);
+    simulation.run(kStartupTime);
+    const exchange_id exchange = simulation.requestStream(0, "s", "/stream/1");
+    const upstream_id first = simulation.state(0).streams.at(exchange).upstream;
+    for (std::size_t upstream = 0; upstream < 4; ++upstream) {
+        if (simulation.upstream(upstream).entry.id == first) {
+            simulation.crashUpstream(upstream);
+        } else {
+            simulation.upstream(upstream).streamStatus = 422;
+        }
+    }
+    simulation.run(milliseconds{4000});
+    const auto *answer = simulation.answerAs<answer_call>(exchange);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->status, 422);
+    EXPECT_FALSE(simulation.stream(exchange).begun);
+}
+
 } // namespace jacinthvale
