A relayed stream is complete only if the peer's reply was a stream

What callers would see: a stream that had begun and was relayed to another daemon ended as complete before its last event when that daemon answered with an error without a relayed answer: 404 of a build that can't read the request, or 400, 413, 503 of its HTTP server. Builds of two versions run side by side during an upgrade, so the first is not far off.

Cause: any whole reply without the mark of a relayed answer was taken for the stream.

Change: the reply must have status 200 and a stream that ended. The encoding of relayed calls moves from node_runtime.cpp to node_relay.cpp, so that it can be tested without sockets; what is sent is unchanged.

Evidence: damaged_answers.errorOfAPeerDoesNotCompleteARelayedStream fails with the old condition (five statuses).

--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "node_pack.h"
+#include "node_relay.h"
 #include "node_step.h"
 
 #include <absl/strings/str_cat.h>
@@ -58,9 +59,8 @@
     return call;
 }
 
-/// Path at a peer that takes a call of a daemon without a path to the upstreams, and marks its answer.
+/// Path at a peer that takes a call of a daemon without a path to the upstreams.
 constexpr const char *kRelayedCallPath = "/node/call";
-constexpr const char *kRelayedAnswerType = "application/x-jacinthvale-answer";
 
 /// The entry server and the peer server number their exchanges independently; the reducer knows those of the
 /// peer server by this bit.
@@ -71,105 +71,6 @@
     return {exchange.value | kPeerExchangeBit};
 }
 
-/// Request of relay_call.
-struct relayed_request
-{
-    std::string id;
-    std::string method;
-    std::string host;
-    std::string target;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
-    std::int64_t remainingMs = 0;
-    std::uint64_t resumeAfter = 0;
-    std::string resumes;
-    std::uint32_t attempts = 1;
-    std::vector<std::string> tried;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(id, method, host, target, headers, body, remainingMs, resumeAfter, resumes, attempts, tried);
-    }
-};
-
-std::string packRelay(const relay_call &relayed)
-{
-    const client_call &call = relayed.call;
-    std::vector<std::string> tried;
-    std::ranges::transform(relayed.tried, std::back_inserter(tried), &upstream_id::value);
-    const relayed_request request{call.id.value,
-                                  call.method,
-                                  call.host,
-                                  call.target,
-                                  {call.headers.begin(), call.headers.end()},
-                                  call.body,
-                                  relayed.remainingTimeout.count(),
-                                  call.resumeAfter,
-                                  call.resumes.value,
-                                  relayed.attempts,
-                                  std::move(tried)};
-    // Older builds read calls without an account.
-    return call.account ? pack(request, call.account->value) : pack(request);
-}
-
-std::optional<relayed_call_received> unpackRelay(exchange_id exchange, const std::string &body)
-{
-    relayed_request request;
-    std::optional<account_id> account;
-    if (!unpack(body, request) && !unpack(body, request, account.emplace().value)) {
-        return std::nullopt;
-    }
-    client_call call{exchange,
-                     {request.id},
-                     request.method,
-                     request.host,
-                     request.target,
-                     {request.headers.begin(), request.headers.end()},
-                     request.body,
-                     milliseconds{request.remainingMs},
-                     request.resumeAfter,
-                     {request.resumes}};
-    call.account = std::move(account);
-    relayed_call_received received{std::move(call), request.attempts};
-    std::ranges::transform(request.tried, std::back_inserter(received.tried),
-                           [](const std::string &id) { return upstream_id{id}; });
-    return received;
-}
-
-reply_http relayedReply(exchange_id exchange, const relayed_answer &answer)
-{
-    const std::vector<std::pair<std::string, std::string>> headers(answer.headers.begin(),
-                                                                   answer.headers.end());
-    return {exchange,
-            kOk,
-            {{"Content-Type", kRelayedAnswerType}},
-            pack(answer.answered, static_cast<std::int32_t>(answer.status), headers, answer.body,
-                 static_cast<std::uint8_t>(answer.reason), answer.withoutPath)};
-}
-
-std::optional<relayed_answer> unpackAnswer(const std::string &body)
-{
-    relayed_answer answer;
-    std::int32_t status = 0;
-    std::uint8_t reason = 0;
-    std::vector<std::pair<std::string, std::string>> headers;
-    if (!unpack(body, answer.answered, status, headers, answer.body, reason, answer.withoutPath)
-        || reason > static_cast<std::uint8_t>(refusal::unauthorized)) {
-        return std::nullopt;
-    }
-    answer.status = status;
-    answer.headers = {headers.begin(), headers.end()};
-    answer.reason = static_cast<refusal>(reason);
-    return answer;
-}
-
-bool isRelayedAnswer(const http_headers &headers)
-{
-    const auto type = headers.find("Content-Type");
-    return type != headers.end() && type->second == kRelayedAnswerType;
-}
-
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -689,18 +590,7 @@
         };
     }
     listener.onFinished = [this, op, isStream = relayed.isStream](const http_call_finished &finished) {
-        relayed_call_ended ended{op, callEndOf(finished.outcome), std::nullopt};
-        call_ended stream;
-        if (isStream) {
-            stream = m_calls.at(op).streamDecoder->onFinished(op, finished);
-        }
-        if (ended.end == call_end::complete && isRelayedAnswer(finished.headers)) {
-            ended.answer = unpackAnswer(isStream ? stream.body : finished.body);
-        } else if (ended.end == call_end::complete) {
-            ended.end = isStream && stream.end == call_end::complete ? call_end::complete
-                                                                     : call_end::incomplete;
-        }
-        post(std::move(ended));
+        post(decodeRelayEnd(op, finished, isStream ? m_calls.at(op).streamDecoder.get() : nullptr));
         m_calls.erase(op);
     };
     m_calls[op].handle = m_client->start(call, std::move(listener));
--- a/tests/test_damaged_answers.cpp
+++ b/tests/test_damaged_answers.cpp
@@ -1,5 +1,6 @@
 // Answers of upstreams, peers and the store that end before they are whole, and answers that begin twice.
 #include "http_edges.h"
+#include "node_relay.h"
 #include "platform_port.h"
 
 namespace jacinthvale {
@@ -125,4 +126,30 @@
     EXPECT_EQ(server.server.openExchanges(), 0U);
 }
 
+// Guards against a stream that ends as complete because a daemon that should go on with it answered with an
+// error, for example one of another version that cannot read the request.
+TEST(damaged_answers, errorOfAPeerDoesNotCompleteARelayedStream)
+{
+    for (const int status : {400, 404, 413, 500, 503}) {
+        const auto decoder = platform::makeStreamDecoder();
+        const http_call_finished finished{{}, transfer_outcome::complete, status, {}, {}};
+        decoder->onResponseHead(status, {});
+        const relayed_call_ended ended = decodeRelayEnd({1}, finished, decoder.get());
+        EXPECT_FALSE(ended.answer.has_value()) << status;
+        EXPECT_EQ(ended.end, call_end::incomplete) << status;
+    }
+}
+
+TEST(damaged_answers, streamOfAPeerIsCompleteWithItsEnd)
+{
+    const http_headers headers{{"Jacinthvale-Attempt-Id", "a1"}, {"Jacinthvale-Response-Seal", "s1"}};
+    const auto decoder = platform::makeStreamDecoder();
+    ASSERT_TRUE(decoder->onResponseHead(200, headers).has_value());
+    EXPECT_EQ(decoder->onBodyBytes("id: 1\ndata: x\n\n").size(), 1U);
+    const http_call_finished whole{{}, transfer_outcome::complete, 200, headers, {}};
+    EXPECT_EQ(decodeRelayEnd({1}, whole, decoder.get()).end, call_end::complete);
+    const http_call_finished cut{{}, transfer_outcome::failed_after_send, 0, {}, {}};
+    EXPECT_EQ(decodeRelayEnd({1}, cut, decoder.get()).end, call_end::incomplete);
+}
+
 } // namespace jacinthvale
