--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -233,7 +233,10 @@
         view.leavesAt.reset();
         return;
     }
-    const instant leavesAt = now + milliseconds{static_cast<std::int64_t>(entry.leavesInMs)};
+    // The row may name any number.
+    constexpr std::uint64_t kLongestMs = 24ULL * 3600 * 1000;
+    const instant leavesAt
+            = now + milliseconds{static_cast<std::int64_t>(std::min(entry.leavesInMs, kLongestMs))};
     view.leavesAt = std::min(leavesAt, view.leavesAt.value_or(leavesAt));
 }
 
