A row beside those of the leases no longer stops the loads of weights

Found by damaged rows in every table of the daemons (the reports on odd entries): with one more row in the table of leases, no daemon takes the lease of the weights again and no upstream gets a new version.

Cause: every row there but that of the duties was taken for the lease of the weights. Its version became the known one, claims on condition of that version are refused, and the refusal's row is dropped as older. Ruled out: rows that can't be decoded, and a lease that seems held.

Change: each lease is known by its key; others are logged.

--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -204,8 +204,10 @@
     case table_id::leases:
         if (change.row.key.key == kDutyLeaseKey) {
             onDutyLeaseRow(s, change.row);
-        } else {
+        } else if (change.row.key.key == kWeightsLeaseKey) {
             onLeaseRow(s, change.row);
+        } else {
+            s.log("lease-unknown", change.row.key.key, "row of another writer; ignored");
         }
         break;
     default:
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -542,6 +542,30 @@
     });
 }
 
+void node_simulation::addDamagedRows(table_id table, std::size_t number)
+{
+    std::vector<std::pair<row_key, std::string>> rows;
+    for (const auto &[key, stored] : m_rows) {
+        if (key.table == table) {
+            rows.emplace_back(key, stored.value);
+        }
+    }
+    for (std::size_t i = 0; i < number && !rows.empty(); ++i) {
+        auto [key, value] = rows.at(m_random() % rows.size());
+        // What follows the id of a host tells the kind of a row.
+        key.key.insert(0, "x" + std::to_string(i));
+        const std::size_t damages = 1 + m_random() % 3;
+        for (std::size_t damage = 0; damage < damages && !value.empty(); ++damage) {
+            value.at(m_random() % value.size()) = static_cast<char>(m_random());
+        }
+        if (m_random() % 4 == 0) {
+            value.resize(m_random() % (value.size() + 1));
+        }
+        ++m_version;
+        put(key, value);
+    }
+}
+
 void node_simulation::put(const row_key &key, const std::string &value)
 {
     m_rows[key] = {value, m_version};
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -221,6 +221,8 @@
     /// Sets the weight version that operators name for a model.
     void setNamedVersion(const std::string &model, std::uint64_t version);
     void putConfig(const node::route_table &table);
+    /// Adds rows under keys of their own, with damaged copies of the values that the table holds.
+    void addDamagedRows(node::table_id table, std::size_t number);
     /// Account under which an upstream last got a call, stream, item or reward call.
     const std::map<std::string, std::optional<node::account_id>> &accountsSeen() const
     {
--- a/tests/test_damaged_answers.cpp
+++ b/tests/test_damaged_answers.cpp
@@ -126,6 +126,19 @@
     EXPECT_EQ(server.server.openExchanges(), 0U);
 }
 
+// Guards against the text of an error in the text of an item that goes on with another upstream.
+TEST(damaged_answers, errorOfAnUpstreamIsNoPartOfAnItem)
+{
+    const http_headers headers{{"Jacinthvale-Attempt-Id", "i1"}, {"Jacinthvale-Response-Seal", "s1"}};
+    for (const int status : {201, 301, 400, 404, 500, 503}) {
+        const auto decoder = platform::makeRunDecoder({});
+        decoder->onResponseHead(status, headers);
+        EXPECT_TRUE(decoder->onBodyBytes("id: 9\ndata: error\n\n").empty()) << status;
+        const http_call_finished whole{{}, transfer_outcome::complete, status, headers, {}};
+        EXPECT_NE(decoder->onFinished(whole), call_end::complete) << status;
+    }
+}
+
 // Guards against a stream that ends as complete because a daemon that should go on with it answered with an
 // error, for example one of another version that cannot read the request.
 TEST(damaged_answers, errorOfAPeerDoesNotCompleteARelayedStream)
--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -209,6 +209,58 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+// Guards against a row of another writer in the tables of the daemons themselves.
+TEST(odd_entries, damagedRowsOfDaemonsEndNothing)
+{
+    constexpr std::size_t kRows = 40;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        node_simulation simulation(seed);
+        simulation.run(milliseconds{1500});
+        const batch first = node_simulation::makeBatch("b1", "m0", 1, std::vector<unsigned>(8, 20));
+        simulation.submitBatch(0, first);
+        simulation.run(milliseconds{500});
+        for (const table_id table : {table_id::daemons, table_id::heads, table_id::leases}) {
+            simulation.addDamagedRows(table, kRows);
+        }
+        simulation.run(milliseconds{2000});
+        // A daemon that starts reads all of them at once.
+        simulation.kill(2);
+        simulation.start(2);
+        const batch second = node_simulation::makeBatch("b2", "m1", 1, std::vector<unsigned>(8, 20));
+        simulation.submitBatch(1, second);
+        EXPECT_TRUE(simulation.runUntil(
+                [&] { return simulation.allCommitted(first) && simulation.allCommitted(second); },
+                milliseconds{40'000}))
+                << seed;
+    }
+}
+
+// Guards against a lease that nobody can take any more: a row under another key was taken for it, with a
+// version that its own row never reached.
+TEST(odd_entries, rowBesideTheLeasesDoesNotStopLoadsOfWeights)
+{
+    constexpr std::size_t kRows = 40;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        node_simulation simulation(seed);
+        simulation.run(milliseconds{4000});
+        simulation.addDamagedRows(table_id::leases, kRows);
+        simulation.run(milliseconds{1000});
+        simulation.kill(2);
+        simulation.start(2);
+        simulation.setNamedVersion("m0", 2);
+        // Half of the upstreams serve this model.
+        const auto loaded = [&] {
+            return std::ranges::count_if(std::array{0U, 1U, 2U, 3U}, [&](unsigned upstream) {
+                const auto &weights = simulation.upstream(upstream).entry.weights;
+                const auto found = weights.find({"m0"});
+                return found != weights.end() && found->second.value == 2;
+            });
+        };
+        EXPECT_TRUE(simulation.runUntil([&] { return loaded() == 2; }, milliseconds{20'000})) << seed;
+        EXPECT_EQ(simulation.violationText(), "");
+    }
+}
+
 // Addresses to which no connection can be made at all are an end like others.
 TEST(odd_entries, addressesWithoutAConnectionAreUnreachable)
 {
