The grace of a stop runs from the first signal

Found on reading, not seen by callers: each further SIGTERM restarted the runtime's count of the grace, while the reducer and the platform count from the first. A process that was told twice waited for its least shutdown time again and could be killed before its end; with the reducer's own deadlines no caller loses its answer by that.

Change: the runtime reads the time of the signal from the state, where a second one changes nothing.

--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -382,7 +382,6 @@
 {
     auto *runtime = static_cast<node_runtime *>(self);
     runtime->m_stopping = true;
-    runtime->m_stopRequestedAt = runtime->now();
     runtime->post(stop_requested{});
 }
 
@@ -677,7 +676,7 @@
     }
     const std::size_t open = m_entryServer->openExchanges();
     const bool idle = open == 0 && !m_entryServer->hasUnsentBytes() && !m_peerServer->hasUnsentBytes();
-    const milliseconds elapsed = now() - m_stopRequestedAt;
+    const milliseconds elapsed = now() - m_state.stopRequestedAt;
     const bool graceOver = elapsed + kShutdownPollInterval * 2 >= m_settings.identity.stopGrace;
     if (graceOver || (idle && elapsed >= kRotationTime)) {
         m_exiting = true;
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -101,7 +101,6 @@
     ::event *m_termEvent = nullptr;
     ::event *m_intEvent = nullptr;
     ::event *m_hupEvent = nullptr;
-    instant m_stopRequestedAt{};
     bool m_ready = false;
     bool m_stopping = false;
     bool m_exiting = false;
--- a/tests/test_node_stop.cpp
+++ b/tests/test_node_stop.cpp
@@ -156,6 +156,23 @@
     EXPECT_EQ(answer->reason, refusal::deadline_exceeded);
 }
 
+// The grace runs from the first signal: the runtime counted it from the last one, and was killed before its
+// end.
+TEST(node_stop, laterSignalsDoNotExtendTheGrace)
+{
+    node_simulation simulation(7);
+    slowDown(simulation);
+    simulation.run(kStartupTime);
+    simulation.requestStream(0, "keeps the process", "/stream/1");
+    simulation.stop(0);
+    const instant signalAt = simulation.now();
+    simulation.run(kEarlyTime);
+    simulation.stop(0);
+    ASSERT_TRUE(simulation.isUp(0));
+    EXPECT_EQ(simulation.state(0).stopRequestedAt, signalAt);
+    EXPECT_LE(simulation.state(0).answersBy, signalAt + kGrace);
+}
+
 // Long polls kept a stopping daemon busy, and the reads of the store that arrived last were cut.
 TEST(node_stop, readersAreAnsweredAtOnce)
 {
