A request's body is held once, and shared instead of copied

Cause: the body was copied into the call's record, into the effect that forwards it, into the client's record of the call and into the output buffer.

Change: shared_bytes, an immutable buffer that copies share. The HTTP client hands it to the output buffer by reference, which holds it until it is sent. Row and peer formats are unchanged.

--- a/include/jacinthvale/effect.h
+++ b/include/jacinthvale/effect.h
@@ -1,6 +1,7 @@
 /// Effects: requests of a reducer to the runtime. They are plain data, so that tests can inspect them.
 #pragma once
 
+#include <jacinthvale/shared_bytes.h>
 #include <jacinthvale/event.h>
 
 #include <string>
@@ -30,7 +31,7 @@
     /// Path with query, percent-encoded.
     std::string path;
     http_headers headers;
-    std::string body;
+    shared_bytes body;
     milliseconds connectTimeout{1000};
     /// Longest time without a byte of the response after the request was sent.
     milliseconds progressTimeout{30000};
--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <jacinthvale/domain_event.h>
+#include <jacinthvale/shared_bytes.h>
 #include <jacinthvale/store.h>
 #include <jacinthvale/types.h>
 #include <jacinthvale/verdict.h>
@@ -48,7 +49,7 @@
     std::string path;
     std::map<std::string, std::string> query;
     http_headers headers;
-    std::string body;
+    shared_bytes body;
     /// Path and query as received, not decoded.
     std::string target = {};
     /// Names that came more than once; `headers` has the first value of each.
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -1,6 +1,7 @@
 /// Value types of the stateless node daemon: routes, upstreams, batches and rows of the platform's table.
 #pragma once
 
+#include <jacinthvale/shared_bytes.h>
 #include <jacinthvale/event.h>
 #include <jacinthvale/node_accounts.h>
 #include <jacinthvale/types.h>
@@ -331,7 +332,7 @@
     /// Path and query, unchanged.
     std::string target;
     http_headers headers;
-    std::string body;
+    shared_bytes body;
     /// Time left until the caller's own timeout; 0 if it set none.
     milliseconds remainingTimeout{0};
     /// Number of the last event that the caller has; its stream goes on after it.
--- a/include/jacinthvale/requests.h
+++ b/include/jacinthvale/requests.h
@@ -1,6 +1,7 @@
 /// Domain of caller requests: routing, limits, retries, claims, tickets and streamed answers.
 #pragma once
 
+#include <jacinthvale/shared_bytes.h>
 #include <jacinthvale/claims.h>
 #include <jacinthvale/config.h>
 #include <jacinthvale/effect.h>
@@ -28,7 +29,7 @@
     /// Name of the plain service, or of the model for engines.
     std::string target;
     std::string contentType;
-    std::string body;
+    shared_bytes body;
     /// Engines only: true if the caller asks for server-sent events.
     bool streamed = false;
     std::optional<std::uint64_t> prefixHash;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -51,6 +51,19 @@
     return bytes;
 }
 
+/// Adds bytes without copying them; the buffer holds them until it is drained.
+void addShared(evbuffer *buffer, const shared_bytes &bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    auto holder = std::make_unique<shared_bytes>(bytes);
+    const auto release = [](const void *, std::size_t, void *held) { delete static_cast<shared_bytes *>(held); };
+    if (evbuffer_add_reference(buffer, bytes.data(), bytes.size(), release, holder.get()) == 0) {
+        holder.release();
+    }
+}
+
 } // namespace
 
 class http_client::implementation
@@ -220,8 +233,7 @@
         for (const auto &[name, value] : running.call.headers) {
             evhttp_add_header(headers, name.c_str(), value.c_str());
         }
-        evbuffer_add(evhttp_request_get_output_buffer(request), running.call.body.data(),
-                     running.call.body.size());
+        addShared(evhttp_request_get_output_buffer(request), running.call.body);
         const auto command = commandOf(running.call.method);
         return evhttp_make_request(running.connection, request, command, running.call.path.c_str()) == 0;
     }
--- a/src/requests_completion.cpp
+++ b/src/requests_completion.cpp
@@ -91,7 +91,7 @@
 
 std::string engineRequestBody(const call_record &call, std::int64_t priority)
 {
-    json body = json::parse(call.request.body, nullptr, false);
+    json body = json::parse(call.request.body.str(), nullptr, false);
     body["stream"] = true;
     body["priority"] = priority;
     body["request_id"] = absl::StrCat("r", call.number.value);
--- a/src/requests_parse.cpp
+++ b/src/requests_parse.cpp
@@ -77,7 +77,7 @@
 
 std::optional<request_error> readCompletion(caller_request &request)
 {
-    const json body = json::parse(request.body, nullptr, false);
+    const json body = json::parse(request.body.str(), nullptr, false);
     if (!body.is_object() || !body.value("model", json()).is_string()
         || !body.value("prompt", json()).is_string()) {
         return invalidRequest(kBadRequest, "bad-json", "The body is no JSON object with model and prompt.");
--- a/tests/standins/samples_world.cpp
+++ b/tests/standins/samples_world.cpp
@@ -195,7 +195,7 @@
                        call.operation, transfer_outcome::complete, kHttpOk, {}, statusBody(engine)});
         return;
     }
-    const nlohmann::json body = nlohmann::json::parse(call.body);
+    const nlohmann::json body = nlohmann::json::parse(call.body.str());
     engine.streams.push_back({which, life, call.operation,
                               body.at("max_tokens").get<std::int64_t>() - body.value("resume_tokens", 0)});
     sendTo(which, life, http_response_head{call.operation, kHttpOk, {}});
--- a/tests/standins/standin_platform.cpp
+++ b/tests/standins/standin_platform.cpp
@@ -143,12 +143,12 @@
             return;
         }
         count("reads");
-        m_loop.reply(request.exchange, kHttpOk, toJson(read(json::parse(request.body))));
+        m_loop.reply(request.exchange, kHttpOk, toJson(read(json::parse(request.body.str()))));
     }
 
     void transact(const http_request_received &request)
     {
-        const store_transact what = readTransact(json::parse(request.body));
+        const store_transact what = readTransact(json::parse(request.body.str()));
         if (what.writeId.empty()) {
             m_loop.reply(request.exchange, kHttpBadRequest, {{"error", "writeId is required"}});
             return;
--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -59,7 +59,7 @@
             return;
         }
         const auto key = request.headers.find("Idempotency-Key");
-        const std::string name = key == request.headers.end() ? request.body : key->second;
+        const std::string name = key == request.headers.end() ? request.body.str() : key->second;
         m_pool.submit(request.exchange, [this, request, name] { begin(request, name); });
     }
 
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -270,7 +270,7 @@
     http_request_received request{{1}, "POST", "/x/y/1", {}, {{"Host", "a.example"}}, "0123456789", "/x/y/1"};
     const auto port = platform::makePlatformPort();
     EXPECT_TRUE(std::holds_alternative<node::event>(port->decodeRequest(request, *table)));
-    request.body += "0";
+    request.body = request.body.str() + "0";
     const decoded_request rejected = port->decodeRequest(request, *table);
     ASSERT_TRUE(std::holds_alternative<reply_http>(rejected));
     EXPECT_EQ(std::get<reply_http>(rejected).status, 413);
@@ -500,10 +500,10 @@
     EXPECT_EQ(usage.path, "/usage");
     EXPECT_EQ(usage.headers.at("Jacinthvale-Duty-Holder"), "h1");
     EXPECT_EQ(usage.headers.at("Jacinthvale-Fencing-Token"), "12");
-    EXPECT_EQ(nlohmann::json::parse(usage.body),
+    EXPECT_EQ(nlohmann::json::parse(usage.body.str()),
               nlohmann::json::parse(R"({"window_id":353445120,"counts":{"huka270":412,"puhu251":3}})"));
     const call_http empty = platform::encodeDutyCall({op_id{1}, usage_report{7, {}}, {"h1"}, {12}});
-    EXPECT_EQ(nlohmann::json::parse(empty.body), nlohmann::json::parse(R"({"window_id":7,"counts":{}})"));
+    EXPECT_EQ(nlohmann::json::parse(empty.body.str()), nlohmann::json::parse(R"({"window_id":7,"counts":{}})"));
 }
 
 // Only the status of an answer counts; its body may be anything.
--- a/tests/test_requests_policies.cpp
+++ b/tests/test_requests_policies.cpp
@@ -355,7 +355,7 @@
     gate.finish(first, transfer_outcome::failed_after_send);
     const call_http second = gate.calls().at(0);
     EXPECT_NE(second.target, first.target);
-    auto body = nlohmann::json::parse(second.body);
+    auto body = nlohmann::json::parse(second.body.str());
     EXPECT_EQ(body["resume_text"], "ab");
     EXPECT_EQ(body["resume_tokens"], 2);
 }
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -131,7 +131,7 @@
     http_client client(loop.base());
     watched_call call;
     call_http large = makeCall(upstream.where());
-    large.body.assign(6 * 1024 * 1024, 'q');
+    large.body = std::string(6 * 1024 * 1024, 'q');
     client.start(large, call.listener());
     ASSERT_TRUE(loop.runUntil([&] { return !upstream.requests.empty(); }));
     EXPECT_EQ(upstream.requests[0].body, large.body);
