JSON of callers is refused before its tree takes more memory than there is

Cause: a value takes eight times and more of its text as a tree, and the tree was built before anything was checked.

Ruled out: counting bytes of the body, which are within every limit.

Change: json_tree adds up what the values would take while it reads the text once, without building anything, and stops at a fifth of memoryMb: 413. Texts up to 64 KB are not looked at. jvnode: batches; the other daemons: every path that takes JSON.

Unit test json_tree.countsValuesAndNotBytes.

--- a/src/daemon_http.cpp
+++ b/src/daemon_http.cpp
@@ -1,6 +1,7 @@
 // HTTP paths that every daemon answers itself, and the check of bearer tokens.
 #include "daemon.h"
 
+#include "json_tree.h"
 #include "keyed_hash.h"
 
 #include <absl/strings/numbers.h>
@@ -15,6 +16,8 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnauthorized = 401;
 constexpr int kHttpUnavailable = 503;
+constexpr int kHttpTooLarge = 413;
+constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
 const std::string kPrincipalHeader = "Jacinthvale-Principal";
 
@@ -56,6 +59,15 @@
     if (answerBuiltIn(request) || !authorize(request)) {
         return;
     }
+    // Bodies for plain services go on unread.
+    if (!request.path.starts_with(kServicePrefix)
+        && !fitsAsTree(request.body, treeBytesFor(static_cast<double>(m_settings.memoryMb)))) {
+        answer(request.exchange, kHttpTooLarge,
+               toJson(request_error{kHttpTooLarge, "document-too-large",
+                                    "The values of the document take more memory than there is.",
+                                    verdict::not_run, 0}));
+        return;
+    }
     post(std::move(request));
 }
 
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -4,6 +4,7 @@
 #include <jacinthvale/effect.h>
 #include <jacinthvale/node.h>
 
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -83,14 +84,17 @@
     virtual call_ended onFinished(op_id op, http_call_finished finished) = 0;
 };
 
+inline constexpr std::size_t kNoTreeLimit = std::numeric_limits<std::size_t>::max();
+
 /// Translates between the daemon's types and the wire format of one platform. Stateless; makes no decisions.
 class wire_port
 {
 public:
     virtual ~wire_port() = default;
 
-    virtual decoded_request decodeRequest(const http_request_received &request,
-                                          const route_table &routes) const = 0;
+    /// @param maxTreeBytes memory that the values of a document may take; a request with more is refused.
+    virtual decoded_request decodeRequest(const http_request_received &request, const route_table &routes,
+                                          std::size_t maxTreeBytes = kNoTreeLimit) const = 0;
     virtual reply_http encodeReply(const answer_call &answer) const = 0;
     virtual reply_http encodeReply(const refuse_call &answer) const = 0;
     virtual reply_http encodeReply(const accept_batch &answer) const = 0;
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -1,5 +1,6 @@
 #include "node_runtime.h"
 
+#include "json_tree.h"
 #include "log.h"
 #include "node_pack.h"
 #include "node_relay.h"
@@ -448,7 +449,7 @@
                                         absl::StrCat("status ", answer.status, ": ", answer.body)});
                               reply(std::move(answer));
                           }},
-               m_port->decodeRequest(request, m_state.config));
+               m_port->decodeRequest(request, m_state.config, treeBytesFor(m_settings.memoryMb)));
 }
 
 void node_runtime::onPeerRequest(const http_request_received &request)
--- a/tests/test_connection_policy.cpp
+++ b/tests/test_connection_policy.cpp
@@ -1,4 +1,6 @@
-// Which connections give way when time, memory or descriptors run out.
+// Which connections give way when time, memory or descriptors run out, and how large a document may become.
+#include "json_tree.h"
+
 #include <gtest/gtest.h>
 #include <jacinthvale/connection_policy.h>
 
@@ -108,3 +110,19 @@
     views.push_back(viewOf(7, connection_stage::idle, 8000, 8000));
     EXPECT_EQ(idsOf(connectionToReplace(views, at(10'000))), (std::vector<std::uint64_t>{7}));
 }
+
+TEST(json_tree, countsValuesAndNotBytes)
+{
+    std::string flat = "[0";
+    std::string nested;
+    for (int i = 0; i < 100'000; ++i) {
+        flat += ",0";
+        nested += "[";
+    }
+    EXPECT_FALSE(fitsAsTree(flat, kMb));
+    EXPECT_FALSE(fitsAsTree(nested, kMb));
+    EXPECT_TRUE(fitsAsTree(flat, 100 * kMb));
+    EXPECT_TRUE(fitsAsTree("[\"" + std::string(500'000, 'x') + "\"]", kMb));
+    // No JSON: its reader says so.
+    EXPECT_TRUE(fitsAsTree(std::string(500'000, 'x'), kMb));
+}
