A connection that was accepted just now does not give way

Found by reading: with all other connections busy, the newcomer itself was the one that is idle for longest, and was closed before its first byte could arrive. Change: an idle connection can give way 100 ms after it was accepted; until then accepting pauses. Test: new lines of connection_policy.neverReplacesARequestInProgress, not run without the change.

--- a/include/jacinthvale/connection_policy.h
+++ b/include/jacinthvale/connection_policy.h
@@ -100,8 +100,8 @@
                                               instant now);
 
 /// @returns the connection to close so that another one can be accepted: one that is refused already, else
-/// the one that is idle for longest, else an incomplete request that made no progress for longest, at least
-/// for a second. Empty where each connection has a request in progress.
+/// the one that is idle for longest and not new, else an incomplete request that made no progress for
+/// longest, at least for a second. Empty where each connection has a request in progress.
 std::vector<connection_verdict> connectionToReplace(const std::vector<connection_view> &connections,
                                                     instant now);
 
--- a/src/connection_policy.cpp
+++ b/src/connection_policy.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds kStall{1000};
 
 constexpr double kForever = 1e12;
+/// A new connection has this long to send its first byte before it can give way.
+constexpr milliseconds kFresh{100};
 
 bool isIncompleteBody(const connection_view &view)
 {
@@ -135,7 +137,7 @@
     for (const connection_view &view : connections) {
         const bool incomplete = view.stage == connection_stage::head || view.stage == connection_stage::body;
         const bool replaceable = view.stage == connection_stage::closing
-                                 || view.stage == connection_stage::idle
+                                 || (view.stage == connection_stage::idle && now - view.since >= kFresh)
                                  || (incomplete && now - view.progressAt >= kStall);
         if (!replaceable) {
             continue;
--- a/tests/test_connection_policy.cpp
+++ b/tests/test_connection_policy.cpp
@@ -104,6 +104,9 @@
             = {viewOf(1, connection_stage::exchange, 0, 0), viewOf(2, connection_stage::waiting, 0, 0),
                viewOf(3, connection_stage::answering, 0, 0), viewOf(4, connection_stage::body, 0, 9500)};
     EXPECT_TRUE(connectionToReplace(views, at(10'000)).empty());
+    // One that was accepted just now may be about to send.
+    views.push_back(viewOf(8, connection_stage::idle, 9950, 9950));
+    EXPECT_TRUE(connectionToReplace(views, at(10'000)).empty());
     views.push_back(viewOf(5, connection_stage::head, 0, 8000));
     EXPECT_EQ(idsOf(connectionToReplace(views, at(10'000))), (std::vector<std::uint64_t>{5}));
     views.push_back(viewOf(6, connection_stage::idle, 9000, 9000));
