--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -61,7 +61,7 @@
     const auto release
             = [](const void *, std::size_t, void *held) { delete static_cast<shared_bytes *>(held); };
     if (evbuffer_add_reference(buffer, bytes.data(), bytes.size(), release, holder.get()) == 0) {
-        holder.release();
+        static_cast<void>(holder.release());
     }
 }
 
