Answers that break HTTP are no longer taken for answers

What callers saw: an answer with a status beside 100 to 599, or with a blank, a control byte or a byte over 0x7e in the name of a field, came as an answer; with a blank before the colon of the field that frames the body, with a body that was not the server's. Sound answers with an interim response other than 100, or with extensions of chunks, came as 502.

Cause: the client read answers with evhttp. It takes the status with atoi (only 0 is refused: the status 000 was 502 before), accepts any name of a field, and understands a field only without a blank in its name. All answers pass through this reader: those of upstreams, scorers, store, duties and other daemons, in every program.

The call ends as malformed, an outcome of its own: it may have run, nothing the answer says is believed, a repeatable request goes elsewhere, an unsafe one is never sent again, and its content is not suspected of having ended the server.

--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -72,6 +72,8 @@
     failed_after_send,
     /// A timeout expired after a byte was sent and before the response was complete.
     timed_out,
+    /// A byte was sent, and what came back breaks HTTP or is larger than any answer may be.
+    malformed,
 };
 
 /// Status and headers of a streamed response.
--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -1,4 +1,4 @@
-/// HTTP client on evhttp: pooled connections, and the truth about whether a byte of a request was sent.
+/// HTTP client: pooled connections, and the truth about whether a byte of a request was sent.
 #pragma once
 
 #include <jacinthvale/effect.h>
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 struct event_base;
 
@@ -21,13 +22,30 @@
     std::function<void(http_call_finished)> onFinished;
 };
 
+/// Where an answer breaks HTTP.
+struct answer_fault
+{
+    /// Constant word for the log and the label of a counter, such as "field_name".
+    std::string_view rule;
+    /// Offset of the element that breaks the rule, in bytes from the beginning of the answer.
+    std::size_t offset = 0;
+
+    auto operator<=>(const answer_fault &) const = default;
+};
+
+/// @returns the counter of malformed answers with the rule as label.
+std::string malformedAnswersMetric(const answer_fault &fault);
+
+/// Told of each answer that breaks HTTP.
+using answer_fault_observer = std::function<void(const endpoint &sender, const answer_fault &fault)>;
+
 /// Bounds of the connection pool and of answers.
 struct http_client_limits
 {
     std::size_t maxIdlePerTarget = 64;
     /// Idle connections older than this are closed: a server may be about to close them.
     milliseconds maxIdleAge{4000};
-    /// A call whose answer is larger fails, and its connection is closed.
+    /// A call whose answer is larger ends as malformed, and its connection is closed.
     std::size_t maxHeaderBytes = 64 * 1024;
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
 };
@@ -40,7 +58,8 @@
 {
 public:
     /// @remarks base must outlive the client.
-    explicit http_client(event_base *base, http_client_limits limits = {});
+    explicit http_client(event_base *base, http_client_limits limits = {},
+                         answer_fault_observer onFault = {});
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -197,6 +197,8 @@
     incomplete,
     /// No byte arrived in time; the request may have run.
     timed_out,
+    /// What arrived is no answer; the request may have run.
+    malformed,
 };
 
 struct run_ended
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -15,7 +15,7 @@
 
 constexpr int kMillisecondsPerSecond = 1000;
 constexpr int kMicrosecondsPerMillisecond = 1000;
-constexpr std::int64_t kEndedLinesPerSecond = 5;
+constexpr std::int64_t kLinesPerKindPerSecond = 5;
 
 std::uint64_t drawIncarnation()
 {
@@ -91,10 +91,12 @@
               budgetFor(static_cast<double>(m_settings.memoryMb),
                         static_cast<std::size_t>(m_settings.maxConnections)),
               [this](const std::string &listener, std::string_view reason) { onEnded(listener, reason); })
-    , m_logLimiter(kEndedLinesPerSecond)
+    , m_logLimiter(kLinesPerKindPerSecond)
 {
     m_settings.identity.incarnation = {drawIncarnation()};
-    m_client = std::make_unique<http_client>(m_base);
+    m_client = std::make_unique<http_client>(
+            m_base, http_client_limits{},
+            [this](const endpoint &sender, const answer_fault &fault) { onFault(sender, fault); });
     http_server_limits limits;
     limits.maxBodyBytes = static_cast<std::size_t>(m_settings.maxBodyBytes);
     limits.refusalHeaders = {{"Jacinthvale-Verdict", std::string(toString(verdict::not_run))}};
@@ -238,13 +240,25 @@
     m_metrics.count(absl::StrCat("connections_ended_total{listener=\"", listener, "\",reason=\"",
                                  std::string(reason), "\"}"),
                     1);
-    const auto leftOut = m_logLimiter.admit("connection-ended", makeContext().now);
+    writeLimitedLine("connection-ended", listener, reason);
+}
+
+void daemon::onFault(const endpoint &sender, const answer_fault &fault)
+{
+    m_metrics.count(malformedAnswersMetric(fault), 1);
+    writeLimitedLine("answer-malformed", toString(sender),
+                     absl::StrCat(std::string(fault.rule), " at byte ", fault.offset));
+}
+
+void daemon::writeLimitedLine(const std::string &what, const std::string &subject, std::string_view detail)
+{
+    const auto leftOut = m_logLimiter.admit(what, makeContext().now);
     if (!leftOut || m_settings.logLevel == "off") {
         return;
     }
-    writeLogLine(nlohmann::json{
-            {"what", "connection-ended"}, {"subject", listener}, {"detail", reason}, {"leftOut", *leftOut}}
-                         .dump());
+    writeLogLine(
+            nlohmann::json{{"what", what}, {"subject", subject}, {"detail", detail}, {"leftOut", *leftOut}}
+                    .dump());
 }
 
 void daemon::onPeerBytes(const std::string &bytes)
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -63,6 +63,8 @@
 
     /// A connection was ended by this process.
     void onEnded(const std::string &listener, std::string_view reason);
+    void onFault(const endpoint &sender, const answer_fault &fault);
+    void writeLimitedLine(const std::string &what, const std::string &subject, std::string_view detail);
     void onPeerBytes(const std::string &bytes);
     void sendPeer(const send_peer &message);
     void startCall(const call_http &call);
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -27,7 +27,7 @@
 
 int runDaemon(process_settings settings)
 {
-    // The log stays quiet about writes to closed sockets; evhttp reports them.
+    // The log stays quiet about writes to closed sockets; their connections report them.
     std::signal(SIGPIPE, SIG_IGN);
     setUpLog(settings.logLevel);
     daemon process(std::move(settings));
--- a/src/fleet_weights.cpp
+++ b/src/fleet_weights.cpp
@@ -182,8 +182,9 @@
 void failOrder(fleet_run &run, fleet_upstream &known, const weight_order &order,
                const http_call_finished &result)
 {
-    if (result.outcome == transfer_outcome::failed_after_send
-        || result.outcome == transfer_outcome::timed_out) {
+    const bool mayBeDone = result.outcome != transfer_outcome::complete
+                           && result.outcome != transfer_outcome::nothing_sent;
+    if (mayBeDone) {
         known.doubts[order.model] = {order.swapCounter, known.status->incarnation};
         tellObservation(run, known);
     } else if (result.status == kHttpNotFound) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,14 +1,17 @@
 #include <jacinthvale/http_client.h>
 
+#include "http_fields.h"
+#include "http_response_parser.h"
+#include "socket_address.h"
+
 #include <jacinthvale/event_timer.h>
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -16,40 +19,16 @@
 
 namespace {
 
-/// evhttp's own timeout is only a backstop behind the timers of each call.
-constexpr int kBackstopTimeoutSeconds = 24 * 3600;
-
-/// Lowest status of a response that is not interim.
-constexpr int kFirstFinalStatus = 200;
-
-evhttp_cmd_type commandOf(const std::string &method)
-{
-    if (method == "GET") {
-        return EVHTTP_REQ_GET;
-    }
-    if (method == "PUT") {
-        return EVHTTP_REQ_PUT;
-    }
-    return method == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_POST;
-}
+/// Input that is read ahead of the parser, besides a head that is not complete.
+constexpr std::size_t kReadAheadBytes = 16 * 1024;
 
-http_headers readHeaders(evhttp_request *request)
+struct connection_deleter
 {
-    http_headers headers;
-    evkeyvalq *list = evhttp_request_get_input_headers(request);
-    for (evkeyval *item = list->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        headers.emplace(item->key, item->value);
-    }
-    return headers;
-}
+    void operator()(bufferevent *connection) const { bufferevent_free(connection); }
+};
 
-std::string drain(evhttp_request *request)
-{
-    evbuffer *input = evhttp_request_get_input_buffer(request);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    return bytes;
-}
+/// A connection to a target; closed with the pointer. libevent keeps it alive through its own callbacks.
+using client_connection = std::unique_ptr<bufferevent, connection_deleter>;
 
 /// Adds bytes without copying them; the buffer holds them until it is drained.
 void addShared(evbuffer *buffer, const shared_bytes &bytes)
@@ -65,26 +44,38 @@
     }
 }
 
+std::string requestHead(const call_http &call)
+{
+    std::string head = absl::StrCat(call.method, " ", call.path, " HTTP/1.1\r\n");
+    if (!call.headers.contains("Host")) {
+        absl::StrAppend(&head, "Host: ", toString(call.target), "\r\n");
+    }
+    for (const auto &[name, value] : call.headers) {
+        if (!isFraming(name) && !hasLineEnd(name) && !hasLineEnd(value)) {
+            absl::StrAppend(&head, name, ": ", value, "\r\n");
+        }
+    }
+    if (call.method == "POST" || call.method == "PUT") {
+        absl::StrAppend(&head, "Content-Length: ", call.body.size(), "\r\n");
+    }
+    return absl::StrCat(head, "\r\n");
+}
+
 } // namespace
 
 class http_client::implementation
 {
 public:
-    implementation(event_base *base, http_client_limits limits)
+    implementation(event_base *base, http_client_limits limits, answer_fault_observer onFault)
         : m_base(base)
         , m_limits(limits)
-        , m_reaper(base, [this] { reap(); })
+        , m_onFault(std::move(onFault))
     {}
 
     ~implementation()
     {
-        reap();
         for (auto &[id, running] : m_calls) {
-            closeConnection(*running);
-        }
-        for (auto &[target, idle] : m_idle) {
-            std::ranges::for_each(idle,
-                                  [](const idle_connection &c) { evhttp_connection_free(c.connection); });
+            stopWatching(*running);
         }
     }
 
@@ -94,34 +85,26 @@
     http_call_handle start(const call_http &call, http_call_listener listener)
     {
         const http_call_handle handle{++m_lastHandle};
-        auto running = std::make_unique<running_call>();
-        running->owner = this;
-        running->handle = handle;
-        running->call = call;
-        running->listener = std::move(listener);
-        running->connection = call.freshConnection ? connect(call.target) : takeIdle(call.target);
-        running->outputWatch = evbuffer_add_cb(outputOf(running->connection), &implementation::outputChanged,
-                                               running.get());
-        running->inputWatch
-                = evbuffer_add_cb(inputOf(running->connection), &implementation::inputChanged, running.get());
-        running->timer = std::make_unique<event_timer>(m_base, [this, handle] { expire(handle); });
-        running->timer->start(call.connectTimeout);
-        running_call &stored = *m_calls.emplace(handle, std::move(running)).first->second;
-        if (!dispatch(stored) && m_calls.contains(handle)) {
-            // No connection could be made at all: reported from the loop like every other end.
-            stored.timer->start(milliseconds{0});
+        auto started = std::make_unique<running_call>(*this, handle, call, std::move(listener));
+        running_call &running = *m_calls.emplace(handle, std::move(started)).first->second;
+        running.timer.start(call.connectTimeout);
+        if (!call.freshConnection) {
+            running.connection = takeIdle(call.target);
+        }
+        if (running.connection == nullptr && !connect(running)) {
+            // Reported from the loop like every other end.
+            running.timer.start(milliseconds{0});
+            return handle;
         }
+        send(running);
         return handle;
     }
 
     void cancel(http_call_handle handle)
     {
-        const auto found = m_calls.find(handle);
-        if (found == m_calls.end()) {
-            return;
+        if (const auto node = m_calls.extract(handle)) {
+            stopWatching(*node.mapped());
         }
-        closeConnection(*found->second);
-        m_calls.erase(found);
     }
 
     std::size_t runningCalls() const { return m_calls.size(); }
@@ -129,114 +112,123 @@
 private:
     struct running_call
     {
-        implementation *owner = nullptr;
+        running_call(implementation &client, http_call_handle number, const call_http &what,
+                     http_call_listener receiver)
+            : owner(client)
+            , handle(number)
+            , call(what)
+            , listener(std::move(receiver))
+            , timer(client.m_base, [&client, number] { client.expire(number); })
+            , parser(client.m_limits.maxHeaderBytes, client.m_limits.maxBodyBytes)
+        {}
+
+        implementation &owner;
         http_call_handle handle;
         call_http call;
         http_call_listener listener;
-        evhttp_connection *connection = nullptr;
+        client_connection connection;
         evbuffer_cb_entry *outputWatch = nullptr;
-        evbuffer_cb_entry *inputWatch = nullptr;
-        std::unique_ptr<event_timer> timer;
+        event_timer timer;
+        http_response_parser parser;
         /// A byte of the request may have left this process.
         bool sent = false;
-        /// More unread bytes have arrived than any answer within the limits leaves.
-        bool oversized = false;
     };
 
     struct idle_connection
     {
-        evhttp_connection *connection = nullptr;
+        implementation &owner;
+        endpoint target;
+        client_connection connection;
         std::chrono::steady_clock::time_point since;
     };
 
-    static evbuffer *outputOf(evhttp_connection *connection)
+    static evbuffer *outputOf(const client_connection &connection)
     {
-        return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+        return bufferevent_get_output(connection.get());
     }
 
-    static evbuffer *inputOf(evhttp_connection *connection)
+    static evbuffer *inputOf(const client_connection &connection)
     {
-        return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+        return bufferevent_get_input(connection.get());
     }
 
-    /// After a failure the idle connections to the same target may be as dead as the one that failed.
-    void dropIdle(const endpoint &target)
+    /// @returns false if no connection can be made at all.
+    bool connect(running_call &running) const
     {
-        for (const idle_connection &idle : m_idle[target]) {
-            m_dying.push_back(idle.connection);
-        }
-        m_idle[target].clear();
-        m_reaper.start(milliseconds{0});
+        socket_address address = toSocketAddress(running.call.target);
+        running.connection.reset(bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE));
+        // The head of an answer has to be whole to be read.
+        bufferevent_setwatermark(running.connection.get(), EV_READ, 0,
+                                 m_limits.maxHeaderBytes + kReadAheadBytes);
+        return address.size != 0
+               && bufferevent_socket_connect(running.connection.get(), address.get(),
+                                             static_cast<int>(address.size))
+                          == 0;
     }
 
-    evhttp_connection *connect(const endpoint &target) const
+    static void send(running_call &running)
     {
-        evhttp_connection *connection
-                = evhttp_connection_base_new(m_base, nullptr, target.address.c_str(), target.port);
-        evhttp_connection_set_timeout(connection, kBackstopTimeoutSeconds);
-        evhttp_connection_set_retries(connection, 0);
-        evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(m_limits.maxHeaderBytes));
-        evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(m_limits.maxBodyBytes));
-        return connection;
+        bufferevent *connection = running.connection.get();
+        evbuffer *output = outputOf(running.connection);
+        running.outputWatch = evbuffer_add_cb(output, &implementation::outputChanged, &running);
+        bufferevent_setcb(connection, &implementation::inputReady, nullptr,
+                          &implementation::connectionChanged, &running);
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+        const std::string head = requestHead(running.call);
+        evbuffer_add(output, head.data(), head.size());
+        addShared(output, running.call.body);
     }
 
-    evhttp_connection *takeIdle(const endpoint &target)
+    /// After a failure the idle connections to the same target may be as dead as the one that failed.
+    void dropIdle(const endpoint &target) { m_idle.erase(target); }
+
+    /// @returns null if there is none that can be used.
+    client_connection takeIdle(const endpoint &target)
     {
         auto &idle = m_idle[target];
         const auto oldest = std::chrono::steady_clock::now() - m_limits.maxIdleAge;
-        while (!idle.empty() && idle.front().since < oldest) {
-            evhttp_connection_free(idle.front().connection);
+        while (!idle.empty() && idle.front()->since < oldest) {
             idle.pop_front();
         }
         while (!idle.empty()) {
-            evhttp_connection *connection = idle.back().connection;
+            client_connection connection = std::move(idle.back()->connection);
             idle.pop_back();
-            if (!hasUnreadInput(connection)) {
+            if (isQuiet(connection)) {
                 return connection;
             }
-            evhttp_connection_free(connection);
         }
-        return connect(target);
+        return nullptr;
     }
 
-    /// True if the peer of an idle connection sent bytes or closed it. The bytes are part of no response that
-    /// was asked for, such as a second copy of the last one; the next response would begin with them.
-    static bool hasUnreadInput(evhttp_connection *connection)
+    /// False if the peer of an idle connection sent bytes or closed it. The bytes are part of no response
+    /// that was asked for, such as a second copy of the last one; the next response would begin with them.
+    static bool isQuiet(const client_connection &connection)
     {
-        const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
         char byte = 0;
-        return evbuffer_get_length(inputOf(connection)) > 0
-               || (socket >= 0 && recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0);
+        return recv(bufferevent_getfd(connection.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+               && (errno == EAGAIN || errno == EINTR);
     }
 
-    void giveBack(const endpoint &target, evhttp_connection *connection)
+    void giveBack(const endpoint &target, client_connection connection)
     {
         auto &idle = m_idle[target];
-        idle.push_back({connection, std::chrono::steady_clock::now()});
+        auto kept = std::make_unique<idle_connection>(
+                idle_connection{*this, target, std::move(connection), std::chrono::steady_clock::now()});
+        bufferevent_setcb(
+                kept->connection.get(), [](bufferevent *, void *self) { dropOne(self); }, nullptr,
+                [](bufferevent *, short, void *self) { dropOne(self); }, kept.get());
+        idle.push_back(std::move(kept));
         if (idle.size() > m_limits.maxIdlePerTarget) {
-            evhttp_connection_free(idle.front().connection);
             idle.pop_front();
         }
     }
 
-    /// @returns false where evhttp refused the request at once.
-    static bool dispatch(running_call &running)
+    /// An idle connection got bytes or was closed.
+    static void dropOne(void *self)
     {
-        evhttp_request *request = evhttp_request_new(&implementation::done, &running);
-        evhttp_request_set_header_cb(request, &implementation::headArrived);
-        if (running.call.streamed) {
-            evhttp_request_set_chunked_cb(request, &implementation::chunkArrived);
-        }
-        evkeyvalq *headers = evhttp_request_get_output_headers(request);
-        if (!running.call.headers.contains("Host")) {
-            evhttp_add_header(headers, "Host", toString(running.call.target).c_str());
-        }
-        for (const auto &[name, value] : running.call.headers) {
-            evhttp_add_header(headers, name.c_str(), value.c_str());
-        }
-        addShared(evhttp_request_get_output_buffer(request), running.call.body);
-        const auto command = commandOf(running.call.method);
-        return evhttp_make_request(running.connection, request, command, running.call.path.c_str()) == 0;
+        auto *dropped = static_cast<idle_connection *>(self);
+        auto &idle = dropped->owner.m_idle[dropped->target];
+        std::erase_if(idle, [&](const auto &one) { return one.get() == dropped; });
     }
 
     /// Output that shrinks was handed to the socket, so the request may have left.
@@ -245,136 +237,158 @@
         auto *running = static_cast<running_call *>(argument);
         if (info->n_deleted > 0) {
             running->sent = true;
-            running->timer->start(running->call.progressTimeout);
+            running->timer.start(running->call.progressTimeout);
         }
     }
 
-    /// evhttp reads the length of a chunk without a limit.
-    static void inputChanged(evbuffer *input, const evbuffer_cb_info *, void *argument)
+    static void inputReady(bufferevent *, void *argument)
     {
         auto *running = static_cast<running_call *>(argument);
-        const http_client_limits &limits = running->owner->m_limits;
-        if (!running->oversized && evbuffer_get_length(input) > limits.maxHeaderBytes + limits.maxBodyBytes) {
-            running->oversized = true;
-            running->timer->start(milliseconds{0});
-        }
+        running->owner.readInput(*running);
     }
 
-    /// The connection goes on without this call.
-    static void stopWatching(const running_call &running)
+    static void connectionChanged(bufferevent *, short what, void *argument)
     {
-        evbuffer_remove_cb_entry(outputOf(running.connection), running.outputWatch);
-        evbuffer_remove_cb_entry(inputOf(running.connection), running.inputWatch);
+        auto *running = static_cast<running_call *>(argument);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            return;
+        }
+        const bool isWhole = (what & BEV_EVENT_EOF) != 0 && running->parser.endsWithConnection();
+        running->owner.finish(*running,
+                              isWhole ? transfer_outcome::complete : transfer_outcome::failed_after_send);
     }
 
-    static int headArrived(evhttp_request *request, void *argument)
+    /// Reads on as far as the input reaches. The call may be gone afterwards.
+    void readInput(running_call &running)
     {
-        auto *running = static_cast<running_call *>(argument);
-        if (evhttp_request_get_response_code(request) < kFirstFinalStatus) {
-            // An interim response is no progress; any number of them may follow.
-            return 0;
+        if (!running.sent) {
+            finishMalformed(running, {"before_request", 0});
+            return;
         }
-        running->timer->start(running->call.progressTimeout);
-        const auto &[name, value] = running->call.echo;
+        evbuffer *input = inputOf(running.connection);
+        while (evbuffer_get_length(input) > 0) {
+            const bool hadHead = running.parser.hasHead();
+            const std::size_t size = evbuffer_get_length(input);
+            const auto fed
+                    = running.parser.feed({reinterpret_cast<char *>(evbuffer_pullup(input, -1)), size});
+            evbuffer_drain(input, fed.consumed);
+            if (fed.reached == http_response_parser::status::failed) {
+                finishMalformed(running, running.parser.fault());
+                return;
+            }
+            if (!hadHead && running.parser.hasHead() && !takeHead(running)) {
+                finish(running, transfer_outcome::failed_after_send);
+                return;
+            }
+            takeChunk(running);
+            if (fed.reached == http_response_parser::status::complete) {
+                finish(running, transfer_outcome::complete);
+                return;
+            }
+            if (fed.reached == http_response_parser::status::incomplete) {
+                return;
+            }
+        }
+    }
+
+    /// @returns false if the answer belongs to another request.
+    static bool takeHead(running_call &running)
+    {
+        // Interim responses are no progress; any number of them may follow.
+        running.timer.start(running.call.progressTimeout);
+        const http_headers &headers = running.parser.headers();
+        const auto &[name, value] = running.call.echo;
         if (!name.empty()) {
-            const char *echoed = evhttp_find_header(evhttp_request_get_input_headers(request), name.c_str());
-            if (echoed != nullptr && value != echoed) {
-                return -1;
+            const auto echoed = headers.find(name);
+            if (echoed != headers.end() && echoed->second != value) {
+                return false;
             }
         }
-        if (running->listener.onHead) {
-            running->listener.onHead(evhttp_request_get_response_code(request), readHeaders(request));
+        if (running.listener.onHead) {
+            running.listener.onHead(running.parser.statusCode(), headers);
         }
-        return 0;
+        return true;
     }
 
-    static void chunkArrived(evhttp_request *request, void *argument)
+    static void takeChunk(running_call &running)
     {
-        auto *running = static_cast<running_call *>(argument);
-        if (!running->oversized) {
-            running->timer->start(running->call.progressTimeout);
+        if (running.call.streamed && !running.parser.body().empty()) {
+            running.timer.start(running.call.progressTimeout);
+            running.listener.onChunk(std::exchange(running.parser.body(), {}));
         }
-        running->listener.onChunk(drain(request));
     }
 
-    static void done(evhttp_request *request, void *argument)
+    void finishMalformed(const running_call &running, const answer_fault &fault)
     {
-        auto *running = static_cast<running_call *>(argument);
-        running->owner->finish(*running, request);
+        if (m_onFault) {
+            m_onFault(running.call.target, fault);
+        }
+        finish(running, transfer_outcome::malformed);
     }
 
-    void finish(const running_call &running, evhttp_request *request)
+    /// Ends a call. Its listener is told last and may start others.
+    void finish(const running_call &running, transfer_outcome outcome)
     {
-        http_call_finished result{running.call.operation, transfer_outcome::complete, 0, {}, {}};
-        const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-        if (status == 0) {
-            result.outcome
-                    = running.sent ? transfer_outcome::failed_after_send : transfer_outcome::nothing_sent;
-        } else {
-            result.status = status;
-            result.headers = readHeaders(request);
-            result.body = drain(request);
-        }
         const auto node = m_calls.extract(running.handle);
         running_call &last = *node.mapped();
         stopWatching(last);
-        const bool leftOver = evbuffer_get_length(inputOf(last.connection)) > 0;
-        if (status == 0 || last.call.freshConnection || leftOver) {
-            freeSoon(last.connection);
-            if (status == 0) {
-                dropIdle(last.call.target);
+        http_call_finished result{last.call.operation, outcome, 0, {}, {}};
+        if (outcome == transfer_outcome::complete) {
+            result.status = last.parser.statusCode();
+            result.headers = last.parser.headers();
+            result.body = std::move(last.parser.body());
+            if (canBeReused(last)) {
+                giveBack(last.call.target, std::move(last.connection));
             }
         } else {
-            giveBack(last.call.target, last.connection);
+            result.outcome = last.sent ? outcome : transfer_outcome::nothing_sent;
+            dropIdle(last.call.target);
         }
+        last.connection.reset();
         last.listener.onFinished(std::move(result));
     }
 
-    /// evhttp still uses a connection inside its callbacks, so it is freed from the loop.
-    void freeSoon(evhttp_connection *connection)
+    static bool canBeReused(const running_call &running)
     {
-        m_dying.push_back(connection);
-        m_reaper.start(milliseconds{0});
+        return !running.call.freshConnection && running.parser.keepsAlive()
+               && evbuffer_get_length(inputOf(running.connection)) == 0
+               && evbuffer_get_length(outputOf(running.connection)) == 0;
     }
 
-    void reap()
+    /// The connection goes on without this call.
+    static void stopWatching(running_call &running)
     {
-        std::ranges::for_each(m_dying, evhttp_connection_free);
-        m_dying.clear();
+        if (running.outputWatch != nullptr) {
+            evbuffer_remove_cb_entry(outputOf(running.connection), running.outputWatch);
+            running.outputWatch = nullptr;
+        }
+        if (running.connection != nullptr) {
+            bufferevent_setcb(running.connection.get(), nullptr, nullptr, nullptr, nullptr);
+        }
     }
 
     void expire(http_call_handle handle)
     {
-        const auto node = m_calls.extract(handle);
-        if (node.empty()) {
-            return;
+        if (const auto found = m_calls.find(handle); found != m_calls.end()) {
+            finish(*found->second, transfer_outcome::timed_out);
         }
-        const running_call &running = *node.mapped();
-        closeConnection(running);
-        dropIdle(running.call.target);
-        const auto ended
-                = running.oversized ? transfer_outcome::failed_after_send : transfer_outcome::timed_out;
-        const auto outcome = running.sent ? ended : transfer_outcome::nothing_sent;
-        running.listener.onFinished({running.call.operation, outcome, 0, {}, {}});
-    }
-
-    static void closeConnection(const running_call &running)
-    {
-        stopWatching(running);
-        evhttp_connection_free(running.connection);
     }
 
     event_base *m_base;
     http_client_limits m_limits;
+    answer_fault_observer m_onFault;
     std::uint64_t m_lastHandle = 0;
     std::unordered_map<http_call_handle, std::unique_ptr<running_call>> m_calls;
-    std::map<endpoint, std::deque<idle_connection>> m_idle;
-    std::vector<evhttp_connection *> m_dying;
-    event_timer m_reaper;
+    std::map<endpoint, std::deque<std::unique_ptr<idle_connection>>> m_idle;
 };
 
-http_client::http_client(event_base *base, http_client_limits limits)
-    : m_impl(std::make_unique<implementation>(base, limits))
+std::string malformedAnswersMetric(const answer_fault &fault)
+{
+    return absl::StrCat("answers_malformed_total{rule=\"", std::string(fault.rule), "\"}");
+}
+
+http_client::http_client(event_base *base, http_client_limits limits, answer_fault_observer onFault)
+    : m_impl(std::make_unique<implementation>(base, limits, std::move(onFault)))
 {}
 
 http_client::~http_client() = default;
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http_connection.h"
 
+#include "http_fields.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -38,18 +40,6 @@
     return {phrase.data(), phrase.size()};
 }
 
-bool hasLineEnd(std::string_view text)
-{
-    return text.find_first_of("\r\n") != std::string_view::npos;
-}
-
-/// Headers that describe the framing of one connection; the connection writes its own.
-bool isFraming(const std::string &name)
-{
-    return absl::EqualsIgnoreCase(name, "Content-Length")
-           || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
-}
-
 std::string decodePercent(const char *text)
 {
     std::size_t size = 0;
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -332,6 +332,13 @@
     s.emit(count{"calls_total{end=\"" + outcome + "\"}"});
 }
 
+std::string_view howItBroke(call_end end)
+{
+    return end == call_end::timed_out   ? "timed out"
+           : end == call_end::malformed ? "sent what is no answer"
+                                        : "broke off";
+}
+
 void countUpstreamRequest(step &s, call_end end)
 {
     const auto word = [&] {
@@ -350,6 +357,8 @@
             return "rejected";
         case call_end::incomplete:
             return "incomplete";
+        case call_end::malformed:
+            return "malformed";
         case call_end::timed_out:
             break;
         }
@@ -541,17 +550,21 @@
         break;
     case call_end::incomplete:
     case call_end::timed_out:
+    case call_end::malformed:
         call.mayHaveRun = true;
         recordBreak(s, operation.upstream);
-        recordSilence(s, operation.upstream);
+        if (ended.end != call_end::malformed) {
+            recordSilence(s, operation.upstream);
+        }
         s.log("call-broken", call.call.id.value,
-              operation.upstream.value + (ended.end == call_end::timed_out ? " timed out" : " broke off")
-                      + " after " + std::to_string(static_cast<std::int64_t>(durationMs)) + " ms, attempt "
+              operation.upstream.value + " " + std::string(howItBroke(ended.end)) + " after "
+                      + std::to_string(static_cast<std::int64_t>(durationMs)) + " ms, attempt "
                       + std::to_string(call.tried.size()) + ", others in progress "
                       + std::to_string(call.running.size()),
               contentField(call.content));
         ejectUpstream(s, operation.upstream, kBrokenCallEjection, "call did not complete");
-        if (mayCrashUpstreams(operation.origin)) {
+        // A process that sends bytes has not ended under the call.
+        if (ended.end != call_end::malformed && mayCrashUpstreams(operation.origin)) {
             suspectCrash(s, call.content, operation.upstream);
         }
         break;
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -34,6 +34,8 @@
         return call_end::incomplete;
     case transfer_outcome::timed_out:
         return call_end::timed_out;
+    case transfer_outcome::malformed:
+        return call_end::malformed;
     case transfer_outcome::complete:
         break;
     }
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -804,6 +804,8 @@
     } else if (end == call_end::incomplete || end == call_end::timed_out) {
         recordBreak(s, operation.upstream);
         recordSilence(s, operation.upstream);
+    } else if (end == call_end::malformed) {
+        recordBreak(s, operation.upstream);
     }
     switch (end) {
     case call_end::complete:
@@ -838,10 +840,11 @@
         commitFinished(s, batch);
         break;
     case call_end::incomplete:
-    case call_end::timed_out: {
+    case call_end::timed_out:
+    case call_end::malformed: {
         s.log("run-broken", id,
-              operation.upstream.value + (end == call_end::timed_out ? " timed out" : " ended early")
-                      + " after chunk " + std::to_string(item.chunkCount));
+              operation.upstream.value + " " + std::string(howItBroke(end)) + " after chunk "
+                      + std::to_string(item.chunkCount));
         const auto view = s.state.upstreams.find(operation.upstream);
         if (view != s.state.upstreams.end()) {
             view->second.consecutiveFailures
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -227,7 +227,9 @@
     , m_random(std::random_device{}())
     , m_state(makeNodeState(m_settings.identity))
     , m_logLimiter(m_settings.logLinesPerKind)
-    , m_client(std::make_unique<http_client>(m_base, clientLimits()))
+    , m_client(std::make_unique<http_client>(
+              m_base, clientLimits(),
+              [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); }))
     , m_store(std::make_unique<store_link>(m_base, *m_client, m_settings.platform, [this] { return now(); }))
     , m_guard(m_base, budgetFor(m_settings.memoryMb, m_settings.maxConnections),
               [this](const std::string &listener, std::string_view reason) {
@@ -312,6 +314,15 @@
     return limits;
 }
 
+void node_runtime::reportFault(const endpoint &sender, const answer_fault &fault)
+{
+    writeLog({"answer-malformed",
+              toString(sender),
+              std::string(fault.rule),
+              {{"offset", static_cast<std::int64_t>(fault.offset)}}});
+    m_metrics.count(malformedAnswersMetric(fault), 1);
+}
+
 std::string node_runtime::renderMetrics()
 {
     m_metrics.setGauge("connections", static_cast<double>(m_guard.connections()));
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -51,6 +51,7 @@
     http_server_limits serverLimits() const;
     /// Limits of the configuration for callers' connections, within those of the settings.
     http_server_limits callerLimits() const;
+    void reportFault(const endpoint &sender, const answer_fault &fault);
     std::string renderMetrics();
     std::unique_ptr<http_server> listen(const endpoint &address, const std::string &name,
                                         std::function<void(http_request_received)> onRequest,
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -336,6 +336,9 @@
 double expectedRewardDuration(const node_state &state, const reward_call &reward);
 /// Counts how a request to an upstream ended, and records what it says about the path to the upstreams.
 void countUpstreamRequest(step &s, call_end end);
+
+/// @returns what the upstream did, for the log; only for calls without a whole answer.
+std::string_view howItBroke(call_end end);
 /// Releases the upstream slot of an attempt that ended.
 void releaseSlot(step &s, const upstream_id &id);
 /// @returns the time by which a caller gets its answer.
--- a/src/node_store_link.cpp
+++ b/src/node_store_link.cpp
@@ -39,6 +39,7 @@
         return attempt_outcome::not_executed;
     case transfer_outcome::failed_after_send:
     case transfer_outcome::timed_out:
+    case transfer_outcome::malformed:
         return attempt_outcome::indeterminate;
     case transfer_outcome::complete:
         break;
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -319,7 +319,7 @@
 }
 
 /// A run ended early: the stream goes on elsewhere if it may.
-void onRunBroken(step &s, exchange_id exchange, const std::string &reason)
+void onRunBroken(step &s, exchange_id exchange, call_end end, const std::string &reason)
 {
     stream_state &stream = s.state.streams.at(exchange);
     stream.mayHaveRun = true;
@@ -328,9 +328,12 @@
                   + ", attempt " + std::to_string(stream.sent),
           contentField(stream.content));
     recordBreak(s, stream.upstream);
-    recordSilence(s, stream.upstream);
     ejectUpstream(s, stream.upstream, kBrokenCallEjection, "stream did not complete");
-    suspectCrash(s, stream.content, stream.upstream);
+    // A process that sends bytes has not ended under the call.
+    if (end != call_end::malformed) {
+        recordSilence(s, stream.upstream);
+        suspectCrash(s, stream.content, stream.upstream);
+    }
     startStream(s, exchange);
 }
 
@@ -408,7 +411,7 @@
     releaseEvents(s, exchange);
     if (!inOrder) {
         cancelRun(s, *stream);
-        onRunBroken(s, exchange, "sent an event out of order");
+        onRunBroken(s, exchange, call_end::incomplete, "sent an event out of order");
     }
 }
 
@@ -439,7 +442,7 @@
     case call_end::permanently_rejected:
         if (stream->headReceived
             || (ended.end == call_end::failed && mayRun(*stream) && stream->matchedRoute.resumable)) {
-            onRunBroken(s, exchange, "answered with status " + std::to_string(ended.status));
+            onRunBroken(s, exchange, ended.end, "answered with status " + std::to_string(ended.status));
             return;
         }
         countCallOutcome(s, "answered");
@@ -462,7 +465,8 @@
         break;
     case call_end::incomplete:
     case call_end::timed_out:
-        onRunBroken(s, exchange, ended.end == call_end::timed_out ? "timed out" : "broke off");
+    case call_end::malformed:
+        onRunBroken(s, exchange, ended.end, std::string(howItBroke(ended.end)));
         return;
     }
     startStream(s, exchange);
--- a/src/requests_attempt.cpp
+++ b/src/requests_attempt.cpp
@@ -69,7 +69,8 @@
     const bool hasHead = call.attempt && call.attempt->status != 0;
     const int status = hasHead ? call.attempt->status : result.status;
     const http_headers &headers = hasHead ? call.attempt->headers : result.headers;
-    const bool refused = refusedBeforeRun(status, headers);
+    // Nothing that a malformed answer says is believed.
+    const bool refused = result.outcome != transfer_outcome::malformed && refusedBeforeRun(status, headers);
     std::string body = isEngineCall(call) ? call.progress.errorBody + result.body : result.body;
     return {verdictOf(call, result, refused),  result.outcome,  status,
             headerOf(headers, "Content-Type"), std::move(body), refused};
--- a/tests/test_node_batches.cpp
+++ b/tests/test_node_batches.cpp
@@ -61,6 +61,21 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+// A server in trouble breaks its answers with bytes that are none.
+TEST(node_batches, itemsRunAgainAfterMalformedAnswers)
+{
+    node_simulation simulation(1);
+    simulation.run(kStartupTime);
+    simulation.setBrokenCallShare(0.5, call_end::malformed);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, chunkCounts(12, 20));
+    simulation.submitBatch(0, submitted);
+    simulation.run(milliseconds{2000});
+    simulation.setBrokenCallShare(0);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    EXPECT_GT(simulation.runsStarted(), 12U);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
 TEST(node_batches, waitingReaderIsAnsweredWhenFirstResultIsCommitted)
 {
     node_simulation simulation(2);
--- a/tests/test_node_calls.cpp
+++ b/tests/test_node_calls.cpp
@@ -50,6 +50,31 @@
     EXPECT_EQ(simulation.runsPerUpstream().size(), 1U);
 }
 
+// Clients got broken answers as answers. Whether the request ran is not known.
+TEST(node_calls, doesNotRetryOnceOnlyCallAfterMalformedAnswer)
+{
+    node_simulation simulation(3);
+    simulation.run(kStartupTime);
+    simulation.setBrokenCallShare(1, call_end::malformed);
+    const exchange_id call = simulation.sendCall(0, "c1", "/once/1");
+    simulation.run(milliseconds{300});
+    ASSERT_NE(simulation.answerAs<refuse_call>(call), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(call)->reason, refusal::may_have_run);
+    EXPECT_EQ(simulation.runsPerUpstream().size(), 1U);
+}
+
+TEST(node_calls, sendsSafeCallToAnotherUpstreamAfterMalformedAnswer)
+{
+    node_simulation simulation(3);
+    simulation.run(kStartupTime);
+    simulation.setBrokenCallShare(1, call_end::malformed);
+    const exchange_id call = simulation.sendCall(0, "c1");
+    simulation.run(milliseconds{300});
+    ASSERT_NE(simulation.answerAs<refuse_call>(call), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(call)->reason, refusal::may_have_run);
+    EXPECT_EQ(simulation.runsPerUpstream().size(), 2U);
+}
+
 TEST(node_calls, immediatelyRefusesCallAsNotRunWithoutUpstream)
 {
     node_simulation simulation(4);
--- a/tests/test_node_forwarded_streams.cpp
+++ b/tests/test_node_forwarded_streams.cpp
@@ -104,6 +104,20 @@
     EXPECT_EQ(simulation.violationText(), "");
 }
 
+// A server in trouble breaks its stream with bytes that are no answer.
+TEST(node_forwarded_streams, goesOnElsewhereAfterAMalformedAnswer)
+{
+    node_simulation simulation(4);
+    simulation.run(kStartupTime);
+    std::vector<stream_caller> callers = startCallers(simulation, 12);
+    simulation.setBrokenCallShare(0.5, call_end::malformed);
+    simulation.run(milliseconds{700});
+    simulation.setBrokenCallShare(0);
+    EXPECT_TRUE(completeAll(simulation, callers));
+    EXPECT_EQ(simulation.violationText(), "");
+    EXPECT_TRUE(simulation.state(0).suspectedContents.empty());
+}
+
 // Guards against streams that go on at another software version after their upstream crashed.
 TEST(node_forwarded_streams, answerGoesOnAtTheVersionThatBeganIt)
 {
--- a/tests/test_node_quarantine.cpp
+++ b/tests/test_node_quarantine.cpp
@@ -87,6 +87,23 @@
     EXPECT_EQ(simulation.crashesOf(kCrashingPath), crashes);
 }
 
+// A server that sends what is no answer has not ended under the call.
+TEST(node_quarantine, malformedAnswersDoNotMakeTheirContentSuspect)
+{
+    node_simulation simulation(5, 12);
+    simulation.run(kStartupTime);
+    simulation.setBrokenCallShare(1, call_end::malformed);
+    sendAgain(simulation, 20, milliseconds{100}, "/plain/1");
+    sendAgain(simulation, 20, milliseconds{100}, "/once/1");
+    for (std::size_t i = 0; i < simulation.daemonCount(); ++i) {
+        EXPECT_TRUE(simulation.state(i).suspectedContents.empty()) << i;
+    }
+    simulation.setBrokenCallShare(0);
+    const exchange_id call = simulation.sendCall(0, "last", "/plain/1");
+    simulation.run(milliseconds{300});
+    EXPECT_NE(simulation.answerAs<answer_call>(call), nullptr);
+}
+
 // The store delays writes of upstreams that crashed meanwhile; their heartbeats are no signs of life.
 TEST(node_quarantine, heartbeatThatTheStoreAppliedLateIsNoSignOfLife)
 {
--- a/tests/test_requests_policies.cpp
+++ b/tests/test_requests_policies.cpp
@@ -253,6 +253,16 @@
     EXPECT_EQ(gate.replyVerdict(), "may-have-run");
 }
 
+// The head of the answer says that the request was refused, and its body breaks HTTP.
+TEST(requests, believesNothingOfAMalformedAnswer)
+{
+    single_gate gate({view("s1"), view("s2")});
+    gate.post("/v1/services/pay", "p");
+    gate.finish(gate.calls().at(0), transfer_outcome::malformed, 503, kNotRunHeaders);
+    EXPECT_TRUE(gate.calls().empty());
+    EXPECT_EQ(gate.replyVerdict(), "may-have-run");
+}
+
 TEST(requests, retriesAtAnotherUpstreamIfRequestDidNotRun)
 {
     single_gate gate({view("s1"), view("s2")});
