All answers that a process reads are within one account

What callers saw: at other systems, a server that sent without end took the machine that had called it over its memory, and the requests of other clients ended with it. Here 40 calls to such a server did the same to a jvnode of 96 MB.

Cause: each answer had a bound of its own (8 MB at jvnode, 64 MB elsewhere), all together had none, and bodies were copied while they grew. What decoders keep of an event without end was in no account either.

Change: the client is a group of connections in connection_guard, beside the listeners. A body is claimed before it is read, or it is not read: whole where its length is said, else in steps. Bodies without a length leave the first of them the room that it may still need; without that they waited for each other for ever. What waits for a second has calls displaced, repeatable ones first, the largest first, never those of the service itself.

--- a/include/jacinthvale/effect.h
+++ b/include/jacinthvale/effect.h
@@ -22,6 +22,16 @@
     operation_id operation;
 };
 
+/// What becomes of a response when this process has no memory for all of them.
+enum class answer_rank : std::uint8_t {
+    /// Part of a call of the service itself, such as one to the store or to a peer; never gives way.
+    essential,
+    /// The request must not be sent again.
+    single,
+    /// The request may be sent again; gives way first.
+    repeatable,
+};
+
 /// Requests an outgoing HTTP call. It ends in exactly one http_call_finished unless cancelled.
 struct call_http
 {
@@ -42,6 +52,7 @@
     /// Name and value of a header that the response must repeat. A response with another value belongs to
     /// another request: the call ends as failed_after_send. Not checked if empty.
     std::pair<std::string, std::string> echo;
+    answer_rank rank = answer_rank::essential;
 };
 
 /// Cancels a call without a further event and closes its connection.
--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -74,6 +74,8 @@
     timed_out,
     /// A byte was sent, and what came back breaks HTTP or is larger than any answer may be.
     malformed,
+    /// A byte was sent, and this process gave the response up because it has no memory for it.
+    displaced,
 };
 
 /// Status and headers of a streamed response.
--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -12,6 +12,8 @@
 
 namespace jacinthvale {
 
+class connection_guard;
+
 /// Receives what becomes of one call. onFinished comes exactly once, unless the call is cancelled.
 struct http_call_listener
 {
@@ -20,6 +22,8 @@
     /// Only for streamed calls.
     std::function<void(std::string bytes)> onChunk;
     std::function<void(http_call_finished)> onFinished;
+    /// Optional, for streamed calls; bytes of the answer that the receiver keeps for this call.
+    std::function<std::size_t()> heldBytes = {};
 };
 
 /// Where an answer breaks HTTP.
@@ -57,7 +61,12 @@
 class http_client
 {
 public:
-    /// @remarks base must outlive the client.
+    /// @param guard account of the process. An answer that it has no room for is not read on for a while;
+    /// then calls end as displaced, by their rank.
+    /// @remarks base and guard must outlive the client.
+    http_client(event_base *base, connection_guard &guard, http_client_limits limits = {},
+                answer_fault_observer onFault = {});
+    /// Client with an account of its own, for processes without listeners.
     explicit http_client(event_base *base, http_client_limits limits = {},
                          answer_fault_observer onFault = {});
     ~http_client();
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -199,6 +199,8 @@
     timed_out,
     /// What arrived is no answer; the request may have run.
     malformed,
+    /// This process had no memory for the answer; the request may have run.
+    displaced,
 };
 
 struct run_ended
@@ -432,6 +434,7 @@
     upstream_id upstream;
     client_call call;
     milliseconds remainingTimeout{0};
+    bool repeatable = false;
 };
 
 /// Forwards a call whose answer is a stream of events. Events: stream_started, stream_progressed, call_ended.
@@ -446,6 +449,8 @@
     milliseconds remainingTimeout{0};
     /// Longest time without a byte.
     milliseconds progressTimeout{0};
+    /// Another upstream can go on with the stream.
+    bool resumable = false;
 };
 
 /// Starts the streamed answer to a caller.
--- a/src/connection_guard.cpp
+++ b/src/connection_guard.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kQuarters = 4;
 constexpr milliseconds kLookPeriod{500};
 constexpr milliseconds kLookSoonPeriod{50};
+constexpr milliseconds kOverBudgetPeriod{5};
 
 std::size_t quarters(std::size_t whole, std::size_t count)
 {
@@ -42,12 +43,12 @@
     , m_timer(base, [this] { look(); })
 {}
 
-void connection_guard::add(guarded_listener &listener)
+void connection_guard::add(connection_group &listener)
 {
     m_listeners.push_back(&listener);
 }
 
-void connection_guard::remove(const guarded_listener &listener)
+void connection_guard::remove(const connection_group &listener)
 {
     std::erase(m_listeners, &listener);
 }
@@ -66,19 +67,30 @@
     release(bytes);
 }
 
-std::size_t connection_guard::largestClaim() const
+std::size_t connection_guard::largestClaim(claim_class kind) const
 {
-    return quarters(m_budget.bytes, kListenerQuarters);
+    return kind == claim_class::essential ? m_budget.bytes : quarters(m_budget.bytes, kListenerQuarters);
 }
 
-bool connection_guard::claim(std::size_t bytes)
+claim_class connection_guard::classOf(std::size_t bodyBytes) const
+{
+    return bodyBytes <= m_budget.bytes / kSmallPart ? claim_class::essential : claim_class::ordinary;
+}
+
+bool connection_guard::claim(std::size_t bytes, claim_class kind)
+{
+    const bool fits = hasRoom(bytes, kind);
+    m_used += fits ? bytes : 0;
+    return fits;
+}
+
+void connection_guard::hold(std::size_t bytes)
 {
-    const bool isSmall = bytes <= m_budget.bytes / kSmallPart;
-    if (m_used + bytes > (isSmall ? m_budget.bytes : largestClaim())) {
-        return false;
-    }
     m_used += bytes;
-    return true;
+    if (bytes > 0 && m_used > m_budget.bytes && !m_soon) {
+        m_soon = true;
+        m_timer.start(kOverBudgetPeriod);
+    }
 }
 
 void connection_guard::release(std::size_t bytes)
@@ -89,7 +101,7 @@
     }
 }
 
-bool connection_guard::makePlace(guarded_listener &listener, std::size_t itsConnections)
+bool connection_guard::makePlace(connection_group &listener, std::size_t itsConnections)
 {
     const bool listenerFull = itsConnections >= quarters(m_budget.connections, kListenerQuarters);
     if (!listenerFull && m_connections < m_budget.connections) {
@@ -127,7 +139,7 @@
 void connection_guard::look()
 {
     m_soon = false;
-    for (guarded_listener *listener : m_listeners) {
+    for (connection_group *listener : m_listeners) {
         for (const connection_verdict &verdict :
              expiredConnections(listener->views(), listener->times(), now())) {
             listener->carryOut(verdict);
@@ -136,8 +148,11 @@
     if (m_used > m_budget.bytes) {
         carryOut(answersToDrop(allViews(), m_used - m_budget.bytes, now()));
     }
+    if (m_used > m_budget.bytes) {
+        carryOut(responsesToDisplace(allViews(), m_used - m_budget.bytes));
+    }
     const auto resume = [this] {
-        std::ranges::for_each(m_listeners, [](guarded_listener *one) { one->resumeWaiting(); });
+        std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeWaiting(); });
     };
     resume();
     const std::vector<connection_view> views = allViews();
@@ -148,16 +163,34 @@
         resume();
         lookSoon();
     }
-    std::ranges::for_each(m_listeners, [](guarded_listener *one) { one->resumeAccepting(); });
+    makeRoomForResponses();
+    std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeAccepting(); });
     if (!m_soon && m_connections > 0) {
         m_timer.start(kLookPeriod);
     }
 }
 
+void connection_guard::makeRoomForResponses()
+{
+    const std::vector<connection_view> views = allViews();
+    if (std::ranges::find(views, connection_stage::response_waiting, &connection_view::stage)
+        == views.end()) {
+        return;
+    }
+    if (const auto next = responseToServe(views, connection_times{}, now())) {
+        const std::size_t limit
+                = largestClaim(next->essential ? claim_class::essential : claim_class::ordinary);
+        const std::size_t wanted = m_used + next->remaining - std::min(limit, m_used + next->remaining);
+        carryOut(responsesToDisplace(views, wanted, next->id));
+        std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeWaiting(); });
+    }
+    lookSoon();
+}
+
 std::vector<connection_view> connection_guard::allViews() const
 {
     std::vector<connection_view> all;
-    for (const guarded_listener *listener : m_listeners) {
+    for (const connection_group *listener : m_listeners) {
         const std::vector<connection_view> views = listener->views();
         all.insert(all.end(), views.begin(), views.end());
     }
@@ -167,7 +200,7 @@
 void connection_guard::carryOut(const std::vector<connection_verdict> &verdicts) const
 {
     for (const connection_verdict &verdict : verdicts) {
-        std::ranges::for_each(m_listeners, [&](guarded_listener *one) { one->carryOut(verdict); });
+        std::ranges::for_each(m_listeners, [&](connection_group *one) { one->carryOut(verdict); });
     }
 }
 
--- a/src/connection_policy.cpp
+++ b/src/connection_policy.cpp
@@ -1,7 +1,6 @@
 #include <jacinthvale/connection_policy.h>
 
 #include <algorithm>
-#include <optional>
 
 namespace jacinthvale {
 
@@ -61,6 +60,10 @@
         return stage > times.closing
                        ? std::optional(connection_verdict{view.id, connection_action::close, "refused"})
                        : std::nullopt;
+    case connection_stage::response:
+    case connection_stage::response_waiting:
+        // Each call has timeouts of its own.
+        break;
     }
     return std::nullopt;
 }
@@ -127,6 +130,38 @@
     return takeUntil(connections, wanted, connection_action::close, "unread_answer");
 }
 
+std::optional<connection_view> responseToServe(const std::vector<connection_view> &connections,
+                                               const connection_times &times, instant now)
+{
+    const connection_view *first = nullptr;
+    for (const connection_view &view : connections) {
+        const bool isDue = view.essential || now - view.since > times.room;
+        if (view.stage != connection_stage::response_waiting || !isDue) {
+            continue;
+        }
+        if (first == nullptr
+            || std::make_tuple(!view.essential, view.since, view.id)
+                       < std::make_tuple(!first->essential, first->since, first->id)) {
+            first = &view;
+        }
+    }
+    return first == nullptr ? std::nullopt : std::optional(*first);
+}
+
+std::vector<connection_verdict> responsesToDisplace(std::vector<connection_view> connections,
+                                                    std::size_t wanted, connection_id spared)
+{
+    std::erase_if(connections, [&](const connection_view &view) {
+        const bool isResponse = view.stage == connection_stage::response
+                                || view.stage == connection_stage::response_waiting;
+        return !isResponse || view.essential || view.bytes == 0 || view.id == spared;
+    });
+    std::ranges::sort(connections, std::greater<>{}, [](const connection_view &view) {
+        return std::make_tuple(view.repeatable, view.bytes, view.id);
+    });
+    return takeUntil(connections, wanted, connection_action::close, "displaced_response");
+}
+
 std::vector<connection_verdict> connectionToReplace(const std::vector<connection_view> &connections,
                                                     instant now)
 {
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -95,7 +95,7 @@
 {
     m_settings.identity.incarnation = {drawIncarnation()};
     m_client = std::make_unique<http_client>(
-            m_base, http_client_limits{},
+            m_base, m_guard, http_client_limits{},
             [this](const endpoint &sender, const answer_fault &fault) { onFault(sender, fault); });
     http_server_limits limits;
     limits.maxBodyBytes = static_cast<std::size_t>(m_settings.maxBodyBytes);
@@ -290,17 +290,21 @@
 void daemon::startCall(const call_http &call)
 {
     const operation_id operation = call.operation;
+    // Domains keep what they get of a stream until it ends.
+    const auto received = std::make_shared<std::size_t>(0);
     http_call_listener listener;
     listener.onHead = [this, operation](int status, http_headers headers) {
         post(http_response_head{operation, status, std::move(headers)});
     };
-    listener.onChunk = [this, operation](std::string bytes) {
+    listener.onChunk = [this, operation, received](std::string bytes) {
+        *received += bytes.size();
         post(http_response_chunk{operation, std::move(bytes)});
     };
     listener.onFinished = [this, operation](http_call_finished result) {
         m_calls.erase(operation);
         post(std::move(result));
     };
+    listener.heldBytes = [received] { return *received; };
     // A call that ends inside start() has already erased its handle; the entry left behind is harmless.
     m_calls[operation] = m_client->start(call, std::move(listener));
 }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include <jacinthvale/http_client.h>
 
+#include "connection_guard.h"
 #include "http_fields.h"
 #include "http_response_parser.h"
 #include "socket_address.h"
@@ -21,12 +22,24 @@
 
 /// Input that is read ahead of the parser, besides a head that is not complete.
 constexpr std::size_t kReadAheadBytes = 16 * 1024;
+/// Step in which a body without a length claims room.
+constexpr std::size_t kClaimStepBytes = 32 * 1024;
+/// Step in which a body moves out of the chain of buffers, which are freed as they are emptied.
+constexpr std::size_t kMoveStepBytes = 64 * 1024;
+/// Account of a client in a process without listeners.
+constexpr connection_budget kOwnBudget{256UL * 1024 * 1024, 0};
+const std::string kGroupName = "responses";
 
 struct connection_deleter
 {
     void operator()(bufferevent *connection) const { bufferevent_free(connection); }
 };
 
+struct buffer_deleter
+{
+    void operator()(evbuffer *buffer) const { evbuffer_free(buffer); }
+};
+
 /// A connection to a target; closed with the pointer. libevent keeps it alive through its own callbacks.
 using client_connection = std::unique_ptr<bufferevent, connection_deleter>;
 
@@ -63,20 +76,28 @@
 
 } // namespace
 
-class http_client::implementation
+class http_client::implementation final : public connection_group
 {
 public:
-    implementation(event_base *base, http_client_limits limits, answer_fault_observer onFault)
+    implementation(event_base *base, connection_guard *guard, http_client_limits limits,
+                   answer_fault_observer onFault)
         : m_base(base)
+        , m_ownGuard(guard == nullptr ? std::make_unique<connection_guard>(base, kOwnBudget) : nullptr)
+        , m_guard(guard == nullptr ? *m_ownGuard : *guard)
         , m_limits(limits)
         , m_onFault(std::move(onFault))
-    {}
+        , m_handOverTimer(base, [this] { m_guard.release(std::exchange(m_handedOver, 0)); })
+    {
+        m_guard.add(*this);
+    }
 
-    ~implementation()
+    ~implementation() override
     {
+        m_guard.remove(*this);
         for (auto &[id, running] : m_calls) {
-            stopWatching(*running);
+            letGo(*running);
         }
+        m_guard.release(m_handedOver);
     }
 
     implementation(const implementation &) = delete;
@@ -103,12 +124,52 @@
     void cancel(http_call_handle handle)
     {
         if (const auto node = m_calls.extract(handle)) {
-            stopWatching(*node.mapped());
+            letGo(*node.mapped());
         }
     }
 
     std::size_t runningCalls() const { return m_calls.size(); }
 
+    // connection_group
+
+    const std::string &name() const override { return kGroupName; }
+
+    std::vector<connection_view> views() const override
+    {
+        std::vector<connection_view> views;
+        for (const auto &[handle, running] : m_calls) {
+            if (running->claimed + running->held + running->wanted > 0) {
+                views.push_back(running->view());
+            }
+        }
+        return views;
+    }
+
+    void carryOut(const connection_verdict &verdict) override
+    {
+        const auto found
+                = std::ranges::find(m_calls, verdict.id, [](const auto &entry) { return entry.second->id; });
+        if (found != m_calls.end()) {
+            displace(*found->second, verdict.reason);
+        }
+    }
+
+    void resumeWaiting() override
+    {
+        std::vector<http_call_handle> waiting;
+        for (const auto &[handle, running] : m_calls) {
+            if (running->wanted > 0) {
+                waiting.push_back(handle);
+            }
+        }
+        std::ranges::sort(waiting);
+        for (const http_call_handle handle : waiting) {
+            if (const auto found = m_calls.find(handle); found != m_calls.end()) {
+                resume(*found->second);
+            }
+        }
+    }
+
 private:
     struct running_call
     {
@@ -120,8 +181,26 @@
             , listener(std::move(receiver))
             , timer(client.m_base, [&client, number] { client.expire(number); })
             , parser(client.m_limits.maxHeaderBytes, client.m_limits.maxBodyBytes)
+            , id(client.m_guard.nextId())
         {}
 
+        connection_view view() const
+        {
+            connection_view view;
+            view.id = id;
+            view.stage = wanted > 0 ? connection_stage::response_waiting : connection_stage::response;
+            view.bytes = claimed + held;
+            view.remaining = wanted;
+            // Bodies that wait for each other's growth have time while one grows.
+            view.since = grows() ? std::max(waitingSince, owner.m_grownAt) : waitingSince;
+            view.repeatable = call.rank == answer_rank::repeatable;
+            view.essential = call.rank == answer_rank::essential;
+            return view;
+        }
+
+        /// The body has no length, and some of it has arrived.
+        bool grows() const { return claimed > 0 && !parser.bodyLength(); }
+
         implementation &owner;
         http_call_handle handle;
         call_http call;
@@ -130,6 +209,16 @@
         evbuffer_cb_entry *outputWatch = nullptr;
         event_timer timer;
         http_response_parser parser;
+        /// Body so far, unless it is streamed: a chain of buffers grows without being copied.
+        std::unique_ptr<evbuffer, buffer_deleter> body{evbuffer_new()};
+        connection_id id;
+        /// Room that is claimed for the body.
+        std::size_t claimed = 0;
+        /// Room that the call waits for; it does not read meanwhile.
+        std::size_t wanted = 0;
+        instant waitingSince{};
+        /// Input, and bytes that the receiver keeps, that are in the account.
+        std::size_t held = 0;
         /// A byte of the request may have left this process.
         bool sent = false;
     };
@@ -157,19 +246,17 @@
     {
         socket_address address = toSocketAddress(running.call.target);
         running.connection.reset(bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE));
-        // The head of an answer has to be whole to be read.
-        bufferevent_setwatermark(running.connection.get(), EV_READ, 0,
-                                 m_limits.maxHeaderBytes + kReadAheadBytes);
         return address.size != 0
                && bufferevent_socket_connect(running.connection.get(), address.get(),
                                              static_cast<int>(address.size))
                           == 0;
     }
 
-    static void send(running_call &running)
+    void send(running_call &running) const
     {
         bufferevent *connection = running.connection.get();
         evbuffer *output = outputOf(running.connection);
+        boundInput(running);
         running.outputWatch = evbuffer_add_cb(output, &implementation::outputChanged, &running);
         bufferevent_setcb(connection, &implementation::inputReady, nullptr,
                           &implementation::connectionChanged, &running);
@@ -269,6 +356,9 @@
         while (evbuffer_get_length(input) > 0) {
             const bool hadHead = running.parser.hasHead();
             const std::size_t size = evbuffer_get_length(input);
+            if (hadHead && !claimBody(running, size)) {
+                return;
+            }
             const auto fed
                     = running.parser.feed({reinterpret_cast<char *>(evbuffer_pullup(input, -1)), size});
             evbuffer_drain(input, fed.consumed);
@@ -280,17 +370,122 @@
                 finish(running, transfer_outcome::failed_after_send);
                 return;
             }
-            takeChunk(running);
+            takeBody(running);
             if (fed.reached == http_response_parser::status::complete) {
                 finish(running, transfer_outcome::complete);
                 return;
             }
+            boundInput(running);
+            updateHeld(running);
             if (fed.reached == http_response_parser::status::incomplete) {
                 return;
             }
         }
     }
 
+    /// Claims room for the body with the bytes that arrive. @returns false if the call has to wait.
+    bool claimBody(running_call &running, std::size_t arriving)
+    {
+        const std::size_t needed = evbuffer_get_length(running.body.get()) + arriving;
+        if (running.call.streamed || needed <= running.claimed) {
+            return true;
+        }
+        const auto length = running.parser.bodyLength();
+        const std::size_t bytes = length && running.claimed == 0
+                                          ? std::max<std::size_t>(*length, needed)
+                                          : std::max(needed - running.claimed, kClaimStepBytes);
+        if (!mayClaim(running, bytes)) {
+            wait(running, bytes);
+            return false;
+        }
+        m_guard.claim(bytes, classOf(running, bytes));
+        if (running.grows()) {
+            m_grownAt = connection_guard::now();
+        }
+        running.claimed += bytes;
+        return true;
+    }
+
+    claim_class classOf(const running_call &running, std::size_t bytes) const
+    {
+        if (running.call.rank == answer_rank::essential) {
+            return claim_class::essential;
+        }
+        return running.grows() ? claim_class::ordinary : m_guard.classOf(bytes);
+    }
+
+    /// Bodies without a length grow in their order, so that they never wait for each other: all but the first
+    /// leave it the room that it may still need.
+    bool mayClaim(const running_call &running, std::size_t bytes) const
+    {
+        const claim_class kind = classOf(running, bytes);
+        const std::size_t most = m_guard.largestClaim(kind);
+        const std::size_t reserved
+                = running.grows() && !isFirstGrowing(running) ? std::min(m_limits.maxBodyBytes, most / 2) : 0;
+        return m_guard.hasRoom(bytes + reserved, kind);
+    }
+
+    bool isFirstGrowing(const running_call &running) const
+    {
+        return std::ranges::none_of(m_calls, [&](const auto &entry) {
+            const running_call &other = *entry.second;
+            return other.handle < running.handle && other.grows();
+        });
+    }
+
+    void wait(running_call &running, std::size_t bytes)
+    {
+        if (running.wanted == 0) {
+            running.waitingSince = connection_guard::now();
+            bufferevent_disable(running.connection.get(), EV_READ);
+        }
+        running.wanted = bytes;
+        updateHeld(running);
+        if (neverFits(running)) {
+            // Reported from the loop like every other end.
+            running.timer.start(milliseconds{0});
+        }
+        m_guard.lookSoon();
+    }
+
+    bool neverFits(const running_call &running) const
+    {
+        return running.wanted > 0
+               && running.wanted + running.claimed > m_guard.largestClaim(classOf(running, running.wanted));
+    }
+
+    /// The call may be gone afterwards.
+    void resume(running_call &running)
+    {
+        if (claimBody(running, evbuffer_get_length(inputOf(running.connection)))) {
+            running.wanted = 0;
+            bufferevent_enable(running.connection.get(), EV_READ);
+            readInput(running);
+        }
+    }
+
+    /// What the parser did not take has to be whole to be read: a head, the size of a chunk, trailers.
+    void boundInput(const running_call &running) const
+    {
+        const bool isPart = evbuffer_get_length(inputOf(running.connection)) > 0;
+        const std::size_t most
+                = kReadAheadBytes + (isPart || !running.parser.hasHead() ? m_limits.maxHeaderBytes : 0);
+        bufferevent_setwatermark(running.connection.get(), EV_READ, 0, most);
+    }
+
+    void updateHeld(running_call &running)
+    {
+        const auto &heldBytes = running.listener.heldBytes;
+        const std::size_t bytes
+                = evbuffer_get_length(inputOf(running.connection)) + (heldBytes ? heldBytes() : 0);
+        const std::size_t before = std::exchange(running.held, bytes);
+        if (bytes > before) {
+            m_guard.hold(bytes - before);
+        } else {
+            m_guard.release(before - bytes);
+        }
+    }
+
     /// @returns false if the answer belongs to another request.
     static bool takeHead(running_call &running)
     {
@@ -310,14 +505,30 @@
         return true;
     }
 
-    static void takeChunk(running_call &running)
+    static void takeBody(running_call &running)
     {
-        if (running.call.streamed && !running.parser.body().empty()) {
+        std::string &arrived = running.parser.body();
+        if (arrived.empty()) {
+            return;
+        }
+        if (running.call.streamed) {
             running.timer.start(running.call.progressTimeout);
-            running.listener.onChunk(std::exchange(running.parser.body(), {}));
+            running.listener.onChunk(std::exchange(arrived, {}));
+        } else {
+            evbuffer_add(running.body.get(), arrived.data(), arrived.size());
+            arrived.clear();
         }
     }
 
+    static std::string moveOut(evbuffer *buffer)
+    {
+        std::string bytes(evbuffer_get_length(buffer), '\0');
+        for (std::size_t at = 0; at < bytes.size(); at += kMoveStepBytes) {
+            evbuffer_remove(buffer, bytes.data() + at, std::min(kMoveStepBytes, bytes.size() - at));
+        }
+        return bytes;
+    }
+
     void finishMalformed(const running_call &running, const answer_fault &fault)
     {
         if (m_onFault) {
@@ -326,23 +537,36 @@
         finish(running, transfer_outcome::malformed);
     }
 
+    void displace(const running_call &running, std::string_view reason)
+    {
+        m_guard.reportEnd(kGroupName, reason);
+        finish(running, transfer_outcome::displaced);
+    }
+
     /// Ends a call. Its listener is told last and may start others.
     void finish(const running_call &running, transfer_outcome outcome)
     {
         const auto node = m_calls.extract(running.handle);
         running_call &last = *node.mapped();
-        stopWatching(last);
+        if (outcome == transfer_outcome::complete) {
+            // The body is in the account until its receiver has passed it on.
+            m_handedOver += std::exchange(last.claimed, 0);
+            m_handOverTimer.start(milliseconds{0});
+        }
+        letGo(last);
         http_call_finished result{last.call.operation, outcome, 0, {}, {}};
         if (outcome == transfer_outcome::complete) {
             result.status = last.parser.statusCode();
             result.headers = last.parser.headers();
-            result.body = std::move(last.parser.body());
+            result.body = moveOut(last.body.get());
             if (canBeReused(last)) {
                 giveBack(last.call.target, std::move(last.connection));
             }
         } else {
             result.outcome = last.sent ? outcome : transfer_outcome::nothing_sent;
-            dropIdle(last.call.target);
+            if (outcome != transfer_outcome::displaced) {
+                dropIdle(last.call.target);
+            }
         }
         last.connection.reset();
         last.listener.onFinished(std::move(result));
@@ -355,9 +579,10 @@
                && evbuffer_get_length(outputOf(running.connection)) == 0;
     }
 
-    /// The connection goes on without this call.
-    static void stopWatching(running_call &running)
+    /// The connection and the account go on without this call.
+    void letGo(running_call &running)
     {
+        m_guard.release(std::exchange(running.claimed, 0) + std::exchange(running.held, 0));
         if (running.outputWatch != nullptr) {
             evbuffer_remove_cb_entry(outputOf(running.connection), running.outputWatch);
             running.outputWatch = nullptr;
@@ -369,15 +594,29 @@
 
     void expire(http_call_handle handle)
     {
-        if (const auto found = m_calls.find(handle); found != m_calls.end()) {
-            finish(*found->second, transfer_outcome::timed_out);
+        const auto found = m_calls.find(handle);
+        if (found == m_calls.end()) {
+            return;
+        }
+        const running_call &running = *found->second;
+        if (neverFits(running)) {
+            displace(running, "response_too_large");
+        } else {
+            finish(running, transfer_outcome::timed_out);
         }
     }
 
     event_base *m_base;
+    std::unique_ptr<connection_guard> m_ownGuard;
+    connection_guard &m_guard;
     http_client_limits m_limits;
     answer_fault_observer m_onFault;
+    /// Bytes of bodies whose calls ended in this turn of the event loop.
+    std::size_t m_handedOver = 0;
+    event_timer m_handOverTimer;
     std::uint64_t m_lastHandle = 0;
+    /// Last time that a body without a length got more room.
+    instant m_grownAt{};
     std::unordered_map<http_call_handle, std::unique_ptr<running_call>> m_calls;
     std::map<endpoint, std::deque<std::unique_ptr<idle_connection>>> m_idle;
 };
@@ -387,8 +626,13 @@
     return absl::StrCat("answers_malformed_total{rule=\"", std::string(fault.rule), "\"}");
 }
 
+http_client::http_client(event_base *base, connection_guard &guard, http_client_limits limits,
+                         answer_fault_observer onFault)
+    : m_impl(std::make_unique<implementation>(base, &guard, limits, std::move(onFault)))
+{}
+
 http_client::http_client(event_base *base, http_client_limits limits, answer_fault_observer onFault)
-    : m_impl(std::make_unique<implementation>(base, limits, std::move(onFault)))
+    : m_impl(std::make_unique<implementation>(base, nullptr, limits, std::move(onFault)))
 {}
 
 http_client::~http_client() = default;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -23,7 +23,7 @@
 
 class http_server::implementation final
     : public http_connection_owner
-    , public guarded_listener
+    , public connection_group
 {
 public:
     implementation(event_base *base, connection_guard *guard, std::string name, http_server_limits limits,
@@ -192,7 +192,7 @@
     connection_guard &guard() override { return m_guard; }
     const std::string &listenerName() const override { return m_name; }
 
-    // guarded_listener
+    // connection_group
 
     const std::string &name() const override { return m_name; }
     connection_times times() const override { return m_limits.times; }
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -199,7 +199,7 @@
         call.usageWindow = countUsage(s, call.call);
     }
     s.emit(forward_call{op, view.entry.address, *target, call.call,
-                        std::max(milliseconds{1}, call.deadline - s.ctx.now)});
+                        std::max(milliseconds{1}, call.deadline - s.ctx.now), call.repeatable});
     return true;
 }
 
@@ -359,6 +359,8 @@
             return "incomplete";
         case call_end::malformed:
             return "malformed";
+        case call_end::displaced:
+            return "displaced";
         case call_end::timed_out:
             break;
         }
@@ -568,6 +570,11 @@
             suspectCrash(s, call.content, operation.upstream);
         }
         break;
+    case call_end::displaced:
+        call.mayHaveRun = true;
+        s.log("call-displaced", call.call.id.value,
+              "no memory for the answer of " + operation.upstream.value);
+        break;
     }
     if (call.running.empty()) {
         retryOrRefuse(s, operation.origin);
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -36,6 +36,8 @@
         return call_end::timed_out;
     case transfer_outcome::malformed:
         return call_end::malformed;
+    case transfer_outcome::displaced:
+        return call_end::displaced;
     case transfer_outcome::complete:
         break;
     }
@@ -72,6 +74,8 @@
     /// Returns the chunks that these bytes complete.
     virtual std::vector<run_chunk> onBodyBytes(const std::string &bytes) = 0;
     virtual call_end onFinished(const http_call_finished &finished) = 0;
+    /// Bytes of a chunk that is not complete.
+    virtual std::size_t heldBytes() const = 0;
 };
 
 /// Decodes the response to a forwarded stream.
@@ -84,6 +88,8 @@
     /// Returns the events that these bytes complete.
     virtual std::vector<run_chunk> onBodyBytes(const std::string &bytes) = 0;
     virtual call_ended onFinished(op_id op, http_call_finished finished) = 0;
+    /// Bytes of an event that is not complete, or of an answer that is no stream.
+    virtual std::size_t heldBytes() const = 0;
 };
 
 inline constexpr std::size_t kNoTreeLimit = std::numeric_limits<std::size_t>::max();
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -839,6 +839,9 @@
         finishItem(s, batch, operation.item, item_state::lost);
         commitFinished(s, batch);
         break;
+    case call_end::displaced:
+        s.log("run-displaced", id, "no memory for the answer of " + operation.upstream.value);
+        break;
     case call_end::incomplete:
     case call_end::timed_out:
     case call_end::malformed: {
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -75,6 +75,11 @@
     return {exchange.value | kPeerExchangeBit};
 }
 
+answer_rank rankOf(bool repeatable)
+{
+    return repeatable ? answer_rank::repeatable : answer_rank::single;
+}
+
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -97,8 +102,10 @@
     void operator()(const forward_call &forward) const
     {
         const op_id op = forward.op;
+        call_http call = self.m_port->encodeCall(forward);
+        call.rank = rankOf(forward.repeatable);
         self.startCall(
-                op, self.m_port->encodeCall(forward),
+                op, call,
                 [runtime = &self, op](const http_call_finished &f) {
                     return runtime->m_port->decodeCall(op, f);
                 },
@@ -227,10 +234,6 @@
     , m_random(std::random_device{}())
     , m_state(makeNodeState(m_settings.identity))
     , m_logLimiter(m_settings.logLinesPerKind)
-    , m_client(std::make_unique<http_client>(
-              m_base, clientLimits(),
-              [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); }))
-    , m_store(std::make_unique<store_link>(m_base, *m_client, m_settings.platform, [this] { return now(); }))
     , m_guard(m_base, budgetFor(m_settings.memoryMb, m_settings.maxConnections),
               [this](const std::string &listener, std::string_view reason) {
                   writeLog({"connection-ended", listener, std::string(reason)});
@@ -238,6 +241,10 @@
                                                "\",reason=\"", std::string(reason), "\"}"),
                                   1);
               })
+    , m_client(std::make_unique<http_client>(
+              m_base, m_guard, clientLimits(),
+              [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); }))
+    , m_store(std::make_unique<store_link>(m_base, *m_client, m_settings.platform, [this] { return now(); }))
     , m_tickTimer(std::make_unique<event_timer>(m_base,
                                                 [this] {
                                                     m_tickTimer->start(kTickPeriod);
@@ -551,22 +558,24 @@
     running_call &running = m_calls[op];
     running.decoder = m_port->makeRunDecoder(run);
     run_decoder *decoder = running.decoder.get();
+    call_http call = m_port->encodeRun(run);
+    call.rank = answer_rank::repeatable;
     running.handle = m_client->start(
-            m_port->encodeRun(run),
-            {[this, op, decoder, upstream = run.upstream](int status, const http_headers &headers) {
-                 readNotices(op, upstream, status, headers);
-                 decoder->onResponseHead(status, headers);
-             },
-             [this, op, decoder](const std::string &bytes) {
-                 auto chunks = decoder->onBodyBytes(bytes);
-                 if (!chunks.empty()) {
-                     post(run_progressed{op, std::move(chunks)});
-                 }
-             },
-             [this, op, decoder](const http_call_finished &finished) {
-                 post(run_ended{op, decoder->onFinished(finished)});
-                 m_calls.erase(op);
-             }});
+            call, {[this, op, decoder, upstream = run.upstream](int status, const http_headers &headers) {
+                       readNotices(op, upstream, status, headers);
+                       decoder->onResponseHead(status, headers);
+                   },
+                   [this, op, decoder](const std::string &bytes) {
+                       auto chunks = decoder->onBodyBytes(bytes);
+                       if (!chunks.empty()) {
+                           post(run_progressed{op, std::move(chunks)});
+                       }
+                   },
+                   [this, op, decoder](const http_call_finished &finished) {
+                       post(run_ended{op, decoder->onFinished(finished)});
+                       m_calls.erase(op);
+                   },
+                   [decoder] { return decoder->heldBytes(); }});
 }
 
 void node_runtime::startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
@@ -606,6 +615,7 @@
         post(decoder->onFinished(op, finished));
         m_calls.erase(op);
     };
+    listener.heldBytes = [decoder] { return decoder->heldBytes(); };
     return listener;
 }
 
@@ -618,7 +628,9 @@
         readNotices(op, upstream, status, headers);
         onHead(status, headers);
     };
-    m_calls.at(op).handle = m_client->start(m_port->encodeStream(forward), std::move(listener));
+    call_http call = m_port->encodeStream(forward);
+    call.rank = rankOf(forward.resumable);
+    m_calls.at(op).handle = m_client->start(call, std::move(listener));
 }
 
 std::pair<http_server *, exchange_id> node_runtime::serverOf(exchange_id exchange) const
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -93,9 +93,9 @@
     node_state m_state;
     metrics_registry m_metrics;
     log_limiter m_logLimiter;
+    connection_guard m_guard;
     std::unique_ptr<http_client> m_client;
     std::unique_ptr<store_link> m_store;
-    connection_guard m_guard;
     /// Version of the configuration whose limits are in force.
     std::uint64_t m_limitsVersion = 0;
     std::unique_ptr<http_server> m_entryServer;
--- a/src/node_store_link.cpp
+++ b/src/node_store_link.cpp
@@ -40,6 +40,7 @@
     case transfer_outcome::failed_after_send:
     case transfer_outcome::timed_out:
     case transfer_outcome::malformed:
+    case transfer_outcome::displaced:
         return attempt_outcome::indeterminate;
     case transfer_outcome::complete:
         break;
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -251,7 +251,7 @@
     }
     const milliseconds remaining = std::max(milliseconds{1}, stream.deadline - s.ctx.now);
     s.emit(forward_stream{stream.op, view.entry.address, *target, stream.call, stream.lastEvent, remaining,
-                          silenceTimeout(stream, remaining)});
+                          silenceTimeout(stream, remaining), stream.matchedRoute.resumable});
 }
 
 /// True if `recentBuilds` is complete: another daemon has answered, or there is none. A daemon that has just
@@ -468,6 +468,11 @@
     case call_end::malformed:
         onRunBroken(s, exchange, ended.end, std::string(howItBroke(ended.end)));
         return;
+    case call_end::displaced:
+        stream->mayHaveRun = true;
+        s.log("call-displaced", stream->call.id.value,
+              "no memory for the answer of " + operation.upstream.value);
+        break;
     }
     startStream(s, exchange);
 }
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-class peer_socket::implementation final : public guarded_listener
+class peer_socket::implementation final : public connection_group
 {
 public:
     implementation(event_base *base, connection_guard &guard, peer_transport_listener listener)
@@ -78,7 +78,7 @@
 
     std::uint16_t port() const { return boundPort(m_datagramSocket); }
 
-    // guarded_listener
+    // connection_group
 
     const std::string &name() const override { return m_name; }
 
--- a/src/requests_attempt.cpp
+++ b/src/requests_attempt.cpp
@@ -94,7 +94,7 @@
         upstream.limiter.recordOverload();
         step.count("requests_silent_connections_total");
         startProbe(step, upstream);
-    } else {
+    } else if (result.transfer != transfer_outcome::displaced) {
         upstream.breaker.recordFailure(step.ctx.now, threshold);
     }
 }
@@ -173,6 +173,7 @@
                        : call.request.body;
     http.progressTimeout = milliseconds{progress};
     http.streamed = engine;
+    http.rank = call.request.repeatable ? answer_rank::repeatable : answer_rank::single;
     http.freshConnection = !call.request.repeatable || step.ctx.now < upstream.freshConnectionsUntil;
     return http;
 }
--- a/src/samples_score.cpp
+++ b/src/samples_score.cpp
@@ -48,6 +48,7 @@
     call.body = json{{"prompt", run.group->prompt}, {"text", run.proved.text}}.dump(
             -1, ' ', false, json::error_handler_t::replace);
     call.progressTimeout = kScoreTimeout;
+    call.rank = answer_rank::repeatable;
     step.emit(std::move(call));
 }
 
--- a/src/samples_stream.cpp
+++ b/src/samples_stream.cpp
@@ -142,6 +142,7 @@
     call.body = completionBody(step, session, run);
     call.progressTimeout = step.duration("samples.engineSilenceMs");
     call.streamed = true;
+    call.rank = answer_rank::repeatable;
     step.emit(std::move(call));
     step.count("samples_generations_started_total");
     step.count("samples_tokens_resumed_total", static_cast<double>(countTokens(run.proved)));
--- a/tests/test_node_calls.cpp
+++ b/tests/test_node_calls.cpp
@@ -63,6 +63,24 @@
     EXPECT_EQ(simulation.runsPerUpstream().size(), 1U);
 }
 
+// This process had no memory for the answer: the request may have run, and the upstream did nothing wrong.
+TEST(node_calls, displacedAnswerIsNeitherSentAgainNorHeldAgainstItsUpstream)
+{
+    node_simulation simulation(3);
+    simulation.run(kStartupTime);
+    simulation.setBrokenCallShare(1, call_end::displaced);
+    const exchange_id call = simulation.sendCall(0, "c1", "/once/1");
+    simulation.run(milliseconds{300});
+    ASSERT_NE(simulation.answerAs<refuse_call>(call), nullptr);
+    EXPECT_EQ(simulation.answerAs<refuse_call>(call)->reason, refusal::may_have_run);
+    ASSERT_EQ(simulation.runsPerUpstream().size(), 1U);
+    const node_state &state = simulation.state(0);
+    const node::upstream_view &view = state.upstreams.at(simulation.runsPerUpstream().begin()->first);
+    EXPECT_LE(view.ejectedUntil, simulation.now());
+    EXPECT_EQ(view.brokeAt, instant{});
+    EXPECT_TRUE(state.suspectedContents.empty());
+}
+
 TEST(node_calls, sendsSafeCallToAnotherUpstreamAfterMalformedAnswer)
 {
     node_simulation simulation(3);
--- a/tests/test_requests_policies.cpp
+++ b/tests/test_requests_policies.cpp
@@ -263,6 +263,16 @@
     EXPECT_EQ(gate.replyVerdict(), "may-have-run");
 }
 
+TEST(requests, displacedAnswerMayHaveRun)
+{
+    single_gate gate({view("s1"), view("s2")});
+    gate.post("/v1/services/pay", "p");
+    EXPECT_EQ(gate.calls().at(0).rank, answer_rank::single);
+    gate.finish(gate.calls().at(0), transfer_outcome::displaced);
+    EXPECT_TRUE(gate.calls().empty());
+    EXPECT_EQ(gate.replyVerdict(), "may-have-run");
+}
+
 TEST(requests, retriesAtAnotherUpstreamIfRequestDidNotRun)
 {
     single_gate gate({view("s1"), view("s2")});
