--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -68,7 +68,8 @@
             absl::StrAppend(&head, name, ": ", value, "\r\n");
         }
     }
-    if (call.method == "POST" || call.method == "PUT") {
+    // Without a length the body would be taken for the next request.
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
         absl::StrAppend(&head, "Content-Length: ", call.body.size(), "\r\n");
     }
     return absl::StrCat(head, "\r\n");
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -124,6 +124,30 @@
     EXPECT_EQ(upstream.server.openExchanges(), 0U);
 }
 
+// The body of a GET or DELETE was sent without its length, so that servers ran it as a request.
+TEST(http_client, saysTheLengthOfEachBody)
+{
+    const test_loop loop;
+    manual_server upstream(loop.base());
+    http_client client(loop.base());
+    for (const std::string method : {"GET", "DELETE", "PUT", "POST"}) {
+        for (const std::string body : {"", "GET /smuggled HTTP/1.1\r\n\r\n"}) {
+            watched_call call;
+            call_http sent = makeCall(upstream.where());
+            sent.method = method;
+            sent.body = body;
+            client.start(sent, call.listener());
+            ASSERT_TRUE(loop.runUntil([&] { return !upstream.requests.empty(); }));
+            EXPECT_EQ(upstream.requests[0].method, method);
+            EXPECT_EQ(upstream.requests[0].body, body) << method;
+            upstream.server.reply({upstream.requests[0].exchange, 200, {}, "ok"});
+            ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+            EXPECT_EQ(upstream.requests.size(), 1U) << method;
+            upstream.requests.clear();
+        }
+    }
+}
+
 TEST(http_client, carriesLargeBodiesBothWays)
 {
     const test_loop loop;
