The operators' command line meets broken answers, as a test

jvctl reads answers with the same client as the daemons. ctl.takesNoBrokenAnswerOfADaemon has a daemon answer with the statuses 000 and 20, and with a blank and a control byte in the name of a field: each call ends as malformed, and nothing of its body is taken. Nothing but the test is new.

--- a/tests/test_ctl.cpp
+++ b/tests/test_ctl.cpp
@@ -2,7 +2,11 @@
 #include "ctl_commands.h"
 #include "ctl_output.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace jacinthvale;
 using nlohmann::json;
@@ -24,8 +28,67 @@
             {"incarnation", 1}, {"sequence", 1},      {"what", what}};
 }
 
+/// Daemon that answers one request with some bytes, on a thread of its own.
+class answering_daemon
+{
+public:
+    explicit answering_daemon(std::string answer)
+        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        EXPECT_EQ(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(::listen(m_listener, 1), 0);
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this, answer = std::move(answer)] {
+            const int connection = ::accept(m_listener, nullptr, nullptr);
+            char byte = 0;
+            ::recv(connection, &byte, 1, 0);
+            ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            while (::recv(connection, &byte, 1, 0) > 0) {
+            }
+            ::close(connection);
+        });
+    }
+    ~answering_daemon()
+    {
+        m_thread.join();
+        ::close(m_listener);
+    }
+    answering_daemon(const answering_daemon &) = delete;
+    answering_daemon &operator=(const answering_daemon &) = delete;
+
+    endpoint where() const { return {"127.0.0.1", m_port}; }
+
+private:
+    int m_listener;
+    std::uint16_t m_port = 0;
+    std::thread m_thread;
+};
+
+ctl_answer answerOf(const std::string &head)
+{
+    const answering_daemon daemon(head + "\r\nContent-Length: 17\r\n\r\n{\"result\":\"done\"}");
+    ctl_client client("", milliseconds{20'000});
+    return client.get(daemon.where(), "/v1/status");
+}
+
 } // namespace
 
+TEST(ctl, takesNoBrokenAnswerOfADaemon)
+{
+    EXPECT_EQ(answerOf("HTTP/1.1 200 OK").body.value("result", ""), "done");
+    for (const char *head :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200 OK\r\nX A: 1", "HTTP/1.1 200 OK\r\nX\x01: 1"}) {
+        const ctl_answer answer = answerOf(head);
+        EXPECT_EQ(answer.outcome, transfer_outcome::malformed) << head;
+        EXPECT_TRUE(answer.body.empty()) << head;
+    }
+}
+
 TEST(ctl, readsValuesAndScopes)
 {
     EXPECT_EQ(parseValue("true"), json(true));
