--- a/src/connection_guard.cpp
+++ b/src/connection_guard.cpp
@@ -45,12 +45,12 @@
 
 void connection_guard::add(connection_group &listener)
 {
-    m_listeners.push_back(&listener);
+    m_groups.push_back(&listener);
 }
 
 void connection_guard::remove(const connection_group &listener)
 {
-    std::erase(m_listeners, &listener);
+    std::erase(m_groups, &listener);
 }
 
 connection_id connection_guard::open()
@@ -139,7 +139,7 @@
 void connection_guard::look()
 {
     m_soon = false;
-    for (connection_group *listener : m_listeners) {
+    for (connection_group *listener : m_groups) {
         for (const connection_verdict &verdict :
              expiredConnections(listener->views(), listener->times(), now())) {
             listener->carryOut(verdict);
@@ -152,7 +152,7 @@
         carryOut(responsesToDisplace(allViews(), m_used - m_budget.bytes));
     }
     const auto resume = [this] {
-        std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeWaiting(); });
+        std::ranges::for_each(m_groups, [](connection_group *one) { one->resumeWaiting(); });
     };
     resume();
     const std::vector<connection_view> views = allViews();
@@ -164,7 +164,7 @@
         lookSoon();
     }
     makeRoomForResponses();
-    std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeAccepting(); });
+    std::ranges::for_each(m_groups, [](connection_group *one) { one->resumeAccepting(); });
     if (!m_soon && m_connections > 0) {
         m_timer.start(kLookPeriod);
     }
@@ -182,7 +182,7 @@
                 = largestClaim(next->essential ? claim_class::essential : claim_class::ordinary);
         const std::size_t wanted = m_used + next->remaining - std::min(limit, m_used + next->remaining);
         carryOut(responsesToDisplace(views, wanted, next->id));
-        std::ranges::for_each(m_listeners, [](connection_group *one) { one->resumeWaiting(); });
+        std::ranges::for_each(m_groups, [](connection_group *one) { one->resumeWaiting(); });
     }
     lookSoon();
 }
@@ -190,7 +190,7 @@
 std::vector<connection_view> connection_guard::allViews() const
 {
     std::vector<connection_view> all;
-    for (const connection_group *listener : m_listeners) {
+    for (const connection_group *listener : m_groups) {
         const std::vector<connection_view> views = listener->views();
         all.insert(all.end(), views.begin(), views.end());
     }
@@ -200,7 +200,7 @@
 void connection_guard::carryOut(const std::vector<connection_verdict> &verdicts) const
 {
     for (const connection_verdict &verdict : verdicts) {
-        std::ranges::for_each(m_listeners, [&](connection_group *one) { one->carryOut(verdict); });
+        std::ranges::for_each(m_groups, [&](connection_group *one) { one->carryOut(verdict); });
     }
 }
 
--- a/src/connection_guard.h
+++ b/src/connection_guard.h
@@ -100,7 +100,7 @@
 
     connection_budget m_budget;
     end_observer m_onEnded;
-    std::vector<connection_group *> m_listeners;
+    std::vector<connection_group *> m_groups;
     std::size_t m_used = 0;
     std::size_t m_connections = 0;
     std::uint64_t m_lastId = 0;
