Entries of another writer that lack a field are no longer used

What callers saw: an entry in the table of upstreams without zone, software version, start-up time or heartbeat number was taken for an upstream.

Cause: the decoder refused fields of another type, but a field that was missing became its default. The protocol names the fields of an entry and says that one without them names no server.

Change: one check of required and optional fields (platform_fields), with the name of the field at fault.

Existing tests: rows that cannot be read are unreadable_row where they were std::monostate, which now only means removed; as strict, since both are checked not to be used. The sample entry of test_platform_wire lacked version and cold_left_ms and has them now.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -1027,6 +1027,8 @@
     /// Removed upstreams, oldest first, with the table's version at the removal; sent to daemons that request
     /// an upstream_delta.
     std::deque<std::pair<std::uint64_t, upstream_id>> removedUpstreams;
+    /// Upstreams whose row cannot be used and is in the log.
+    std::set<upstream_id> unreadableUpstreams;
     std::map<host_id, member> members;
     std::map<batch_id, batch_head> heads;
     /// The current event delivered head rows.
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -106,8 +106,19 @@
     model_id model;
     weight_version version;
 };
-/// Row written by the operator or by an upstream; monostate if it is removed or cannot be decoded.
-using decoded_row = std::variant<std::monostate, route_table, named_version, upstream_entry>;
+
+/// Row of another writer that cannot be used.
+struct unreadable_row
+{
+    /// Wire name of the field that is missing, of another type or out of range; empty if the row as a whole
+    /// cannot be read.
+    std::string field;
+
+    auto operator<=>(const unreadable_row &) const = default;
+};
+
+/// Row written by the operator or by an upstream; monostate if it is removed.
+using decoded_row = std::variant<std::monostate, route_table, named_version, upstream_entry, unreadable_row>;
 
 struct row_change
 {
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -126,6 +126,12 @@
     pace.namedAt = s.ctx.now;
 }
 
+std::string faultOf(const unreadable_row &row)
+{
+    return row.field.empty() ? "the row as a whole cannot be read"
+                             : "field " + row.field + " is missing, of another type or out of range";
+}
+
 void onOperatorRow(step &s, const row_change &change)
 {
     std::visit(overloaded{[&](const route_table &table) {
@@ -146,11 +152,10 @@
                                         std::to_string(named.version.value));
                               }
                           },
-                          [&](const auto &) {
-                              if (!change.row.removed) {
-                                  s.log("operator-row-unreadable", change.row.key.key);
-                              }
-                          }},
+                          [&](const unreadable_row &unreadable) {
+                              s.log("operator-row-unreadable", change.row.key.key, faultOf(unreadable));
+                          },
+                          [](const auto &) {}},
                change.decodedRow);
 }
 
@@ -228,6 +233,15 @@
     feed.seenKeys.clear();
 }
 
+/// Another writer may repeat its row with each of its heartbeats.
+void recordUnreadable(step &s, const upstream_id &id, const unreadable_row &row)
+{
+    if (s.state.unreadableUpstreams.insert(id).second) {
+        s.log("upstream-unreadable", id.value, faultOf(row) + "; upstream not used");
+        s.emit(count{"upstreams_unreadable_total{field=\"" + row.field + "\"}"});
+    }
+}
+
 /// A row tells the time left as of its write; of several rows the one that names the earliest time holds.
 void updateLeaveTime(upstream_view &view, const upstream_entry &entry, instant now)
 {
@@ -248,11 +262,12 @@
 {
     const upstream_id id{change.row.key.key};
     const auto *entry = std::get_if<upstream_entry>(&change.decodedRow);
+    if (const auto *unreadable = std::get_if<unreadable_row>(&change.decodedRow)) {
+        recordUnreadable(s, id, *unreadable);
+    } else {
+        s.state.unreadableUpstreams.erase(id);
+    }
     if (entry == nullptr) {
-        if (!change.row.removed) {
-            s.log("upstream-unreadable", id.value,
-                  "row of another writer cannot be decoded; upstream not used");
-        }
         if (s.state.upstreams.contains(id)) {
             removeUpstream(s, id, change.row.removed ? "row removed" : "row unreadable");
         }
@@ -318,6 +333,8 @@
     for (const upstream_id &id : missing) {
         removeUpstream(s, id, "row absent in a full read");
     }
+    std::erase_if(s.state.unreadableUpstreams,
+                  [&](const upstream_id &id) { return !ids.contains(id.value); });
 }
 
 table_feed &feedOf(node_state &state, table_id table)
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -46,6 +46,10 @@
     std::deque<instant> limitedRequests;
     /// False when its row is deleted from the table of upstreams.
     bool registered = true;
+    /// Another writer replaces its row with one that lacks a field.
+    bool rowUnreadable = false;
+    /// False when its status report lacks a field about loads.
+    bool reportsLoads = true;
     /// Number of accepted weight orders.
     std::uint64_t orders = 0;
     instant busyUntil{};
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -527,7 +527,7 @@
     }
     ++m_version;
     if (upstream.registered) {
-        m_foreign[key] = upstream.entry;
+        m_foreign[key] = upstream.rowUnreadable ? decoded_row(unreadable_row{"zone"}) : upstream.entry;
         put(key, "heartbeat");
     } else if (m_rows.erase(key) > 0) {
         m_changes.emplace_back(m_version, key);
--- a/tests/test_platform_odd_entries.cpp
+++ b/tests/test_platform_odd_entries.cpp
@@ -80,6 +80,44 @@
     return platform::decodeForeignRow({{table_id::upstreams, "", id}, 1, value, false});
 }
 
+bool isUsed(const decoded_row &decoded)
+{
+    return std::holds_alternative<upstream_entry>(decoded);
+}
+
+/// @returns the field for which an entry is not used.
+std::string faultOf(const decoded_row &decoded)
+{
+    const auto *unreadable = std::get_if<unreadable_row>(&decoded);
+    return unreadable == nullptr ? "none" : unreadable->field;
+}
+
+/// Field of an entry, and values of types that it does not have.
+struct entry_field
+{
+    const char *name;
+    bool isRequired;
+    std::vector<json> otherTypes;
+};
+
+const std::vector<json> kNoTexts = {5, 0.5, true, json::array(), json::object()};
+const std::vector<json> kNoCounts = {"4", -1, 0.5, true, json::array({4}), json::object()};
+
+const std::vector<entry_field> kEntryFields = {
+        {"service", true, kNoTexts},
+        {"address", true, kNoTexts},
+        {"zone", true, kNoTexts},
+        {"version", true, kNoTexts},
+        {"state", true, kNoTexts},
+        {"slots", true, kNoCounts},
+        {"seq_no", true, kNoCounts},
+        {"cold_left_ms", true, {"0", true, json::array({0}), json::object()}},
+        {"born", false, kNoCounts},
+        {"leaves_ms", false, kNoCounts},
+        {"spot", false, {"true", 1, json::array({true}), json::object()}},
+        {"models", false, {"m", 1, true, json::object(), json::array({"m"}), json::array({json::array()})}},
+};
+
 } // namespace
 
 // Guards against an odd entry that names a server to use, and against one that ends the process: very deeply
@@ -105,11 +143,67 @@
         }
     }
     for (const std::string &value : oddValues()) {
-        EXPECT_TRUE(std::holds_alternative<std::monostate>(decodedUpstream(value))) << value.substr(0, 40);
+        EXPECT_TRUE(std::holds_alternative<unreadable_row>(decodedUpstream(value))) << value.substr(0, 40);
     }
     for (const char *id : {"", "i 1", "i-1\r\nX: y", "i-\x01", "i-\xff"}) {
-        EXPECT_TRUE(std::holds_alternative<std::monostate>(decodedUpstream(kEntry.dump(), id))) << id;
+        EXPECT_EQ(faultOf(decodedUpstream(kEntry.dump(), id)), "id") << id;
+    }
+}
+
+// Guards against an entry of another writer that is used as an upstream although one of its fields is
+// missing.
+TEST(odd_entries, withoutARequiredFieldNameNoUpstream)
+{
+    for (const entry_field &field : kEntryFields) {
+        json entry = kEntry;
+        entry.erase(field.name);
+        EXPECT_EQ(isUsed(decodedUpstream(entry.dump())), !field.isRequired) << field.name;
+        for (const json &value : field.otherTypes) {
+            entry[field.name] = value;
+            EXPECT_FALSE(isUsed(decodedUpstream(entry.dump()))) << entry.dump();
+        }
+        entry[field.name] = nullptr;
+        EXPECT_FALSE(isUsed(decodedUpstream(entry.dump()))) << field.name;
+    }
+}
+
+TEST(odd_entries, nameTheFieldThatIsAtFault)
+{
+    for (const entry_field &field : kEntryFields) {
+        json entry = kEntry;
+        entry[field.name] = nullptr;
+        EXPECT_EQ(faultOf(decodedUpstream(entry.dump())), field.name);
+    }
+    for (const char *field : {"name", "version"}) {
+        json entry = kEntry;
+        entry["models"][0].erase(field);
+        EXPECT_EQ(faultOf(decodedUpstream(entry.dump())), "models") << field;
+    }
+    EXPECT_EQ(faultOf(decodedUpstream("[]")), "");
+}
+
+// Guards against a sound entry that is left out for fields that its deployment does not write, or that this
+// build does not know.
+TEST(odd_entries, soundEntriesOfEachDeploymentAreUsed)
+{
+    // Model servers, before and after their start is told; plain servers; upstreams that leave; fields to
+    // come.
+    const std::string head
+            = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"delta-a","version":"v1",)"
+              R"("slots":12,"cold_left_ms":0,"seq_no":4)";
+    const std::string models = R"("stage":"both","models":[{"name":"daka510000","version":1,"adapters":[]}])";
+    for (const std::string &rest :
+         {R"("state":"ready",)" + models, R"("state":"ready","born":1764900000000,)" + models,
+          std::string(R"("state":"ready")"), std::string(R"("state":"draining","models":[])"),
+          std::string(R"("state":"draining","spot":true,"leaves_ms":4000)"),
+          std::string(R"("state":"ready","region":"nile-delta","weights":{"a":[1]},"load":0.5)")}) {
+        std::string entry = head;
+        entry.append(",").append(rest).append("}");
+        EXPECT_TRUE(isUsed(decodedUpstream(entry))) << entry;
     }
+    json slow = kEntry;
+    slow["cold_left_ms"] = 812.5;
+    EXPECT_TRUE(isUsed(decodedUpstream(slow.dump())));
 }
 
 // Guards against a whole answer of the store that cannot be read because of one row in it.
@@ -131,7 +225,7 @@
         ASSERT_NE(rows, nullptr);
         ASSERT_EQ(rows->rows.size(), 4U);
         EXPECT_TRUE(std::holds_alternative<upstream_entry>(rows->rows.front().decodedRow));
-        EXPECT_TRUE(std::holds_alternative<std::monostate>(rows->rows.at(2).decodedRow));
+        EXPECT_TRUE(std::holds_alternative<unreadable_row>(rows->rows.at(2).decodedRow));
         EXPECT_TRUE(std::holds_alternative<upstream_entry>(rows->rows.back().decodedRow));
     }
 }
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -24,7 +24,7 @@
  "services":[{"name":"s1","engine":{"kv_cap_tokens":44572,"stride":61,"models":[{"name":"m1"},{"name":"m2"}]}},{"name":"s2"}]})";
 
 const std::string kUpstream
-        = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","slots":12,"state":"ready",
+        = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready","cold_left_ms":0,
  "models":[{"name":"m1","version":3}],"seq_no":4,"born":17})";
 
 decoded_row decode(table_id table, const std::string &key, const std::string &value)
@@ -66,7 +66,7 @@
          {std::string("{}"), std::string("\xff\x00", 2), std::string("[1]"), std::string(R"({"service":5})"),
           std::string(R"({"service":"s","address":"x","slots":1,"state":"ready"})"),
           std::string(R"({"service":"s","address":"10.0.0.1:1","slots":1,"state":"odd"})")}) {
-        EXPECT_TRUE(std::holds_alternative<std::monostate>(decode(table_id::upstreams, "i-2", bad))) << bad;
+        EXPECT_TRUE(std::holds_alternative<unreadable_row>(decode(table_id::upstreams, "i-2", bad))) << bad;
     }
 }
 
@@ -245,7 +245,7 @@
          {R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
           R"([{"name":"a","api_keys":["k"]},{"name":"a","api_keys":["l"]}])", R"([{"api_keys":["k"]}])",
           R"([{"name":"a","api_keys":[7]}])", R"(["a"])", R"({"a":["k"]})"}) {
-        EXPECT_TRUE(std::holds_alternative<std::monostate>(
+        EXPECT_TRUE(std::holds_alternative<unreadable_row>(
                 decode(table_id::operators, "config", withTenants(tenants))))
                 << tenants;
     }
