A status report without a field about loads leads to no order

What could be seen: a report of a server without its number of accepted orders counted as one of zero, one without its models as a server without weights, one without "busy" as idle. The weights leader then sent an order that named a number the server never said.

Cause: as for entries, a missing field became its default.

Evidence: reportWithoutARequiredFieldTellsNothingOfLoads and sendsNoOrderToAnUpstreamThatDoesNotTellOfLoads; the former fails with the check taken out.

Change: what a report tells of loads is one value that is there or not. Without it the load is given up for now, as without a report, and tried again. The start of the process is still read: it tells who answers.

--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -7,6 +7,8 @@
 #include <jacinthvale/node_types.h>
 
 #include <absl/status/status.h>
+#include <map>
+#include <optional>
 #include <variant>
 
 namespace jacinthvale::node {
@@ -233,6 +235,18 @@
     std::string seal = {};
 };
 
+/// What an upstream says about loads of weights.
+struct load_status
+{
+    /// A load is in progress.
+    bool busy = false;
+    /// Number of orders that the upstream has accepted since its start.
+    std::uint64_t orders = 0;
+    std::map<model_id, weight_version> weights;
+
+    auto operator<=>(const load_status &) const = default;
+};
+
 /// Status of an upstream, as requested by request_upstream_status.
 struct upstream_status_received
 {
@@ -241,12 +255,10 @@
     bool answered = false;
     /// A whole response of any kind arrived.
     bool reached = false;
-    bool busy = false;
     /// Unix time at which the upstream's process started; 0 if the upstream does not tell.
     std::uint64_t startedAtMs = 0;
-    /// Number of orders that the upstream has accepted since its start.
-    std::uint64_t orders = 0;
-    std::map<model_id, weight_version> weights;
+    /// nullopt if one of its fields is missing or of another type.
+    std::optional<load_status> loads;
 };
 
 /// The head of a response says that the upstream process which sent it is leaving. Precedes the outcome of
--- a/src/node_weights.cpp
+++ b/src/node_weights.cpp
@@ -438,25 +438,26 @@
     order.op = {};
     order.nextStatusRequestAt = s.ctx.now + kStatusRequestInterval;
     const auto view = s.state.upstreams.find(operation.upstream);
-    if (view == s.state.upstreams.end() || !report.answered) {
-        s.log("load-unknown", operation.upstream.value);
+    if (view == s.state.upstreams.end() || !report.loads) {
+        s.log("load-unknown", operation.upstream.value,
+              report.answered ? "the report does not tell of loads" : "no report");
         ejectUpstream(s, operation.upstream, kStatusRequestInterval, "no status report");
         s.state.weightsLeader.orders.erase(found);
         return;
     }
-    for (const auto &[model, version] : report.weights) {
+    for (const auto &[model, version] : report.loads->weights) {
         advanceWeightVersion(view->second.entry, model, version);
     }
-    if (report.busy || versionOf(view->second, order.model) >= order.version || !mayOrder(s)) {
+    if (report.loads->busy || versionOf(view->second, order.model) >= order.version || !mayOrder(s)) {
         return;
     }
     s.log("weights-ordered", operation.upstream.value,
           order.model.value + " version " + std::to_string(order.version.value)
-                  + ", accepted orders of the upstream so far: " + std::to_string(report.orders));
+                  + ", accepted orders of the upstream so far: " + std::to_string(report.loads->orders));
     s.emit(count{"weight_orders"});
     order.op = s.open(order_operation{operation.upstream});
     s.emit(order_weights{order.op, view->second.entry.address, operation.upstream, order.model, order.version,
-                         s.state.self.host, s.state.weightsLeader.claim.epoch, report.orders});
+                         s.state.self.host, s.state.weightsLeader.claim.epoch, report.loads->orders});
 }
 
 void onOrderEnded(step &s, const order_operation &operation, const call_ended &end)
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -467,7 +467,7 @@
 
 void node_simulation::reportStatus(std::size_t daemon, const request_upstream_status &request)
 {
-    if (failsToConnect(daemon, upstream_status_received{request.op, false, false, false, 0, 0, {}})) {
+    if (failsToConnect(daemon, upstream_status_received{request.op, false, false, 0, std::nullopt})) {
         return;
     }
     checkNotLeaving(daemon, request.upstream, "status request");
@@ -477,10 +477,10 @@
     reported.op = request.op;
     reported.answered = target->up;
     reported.reached = target->up;
-    reported.busy = target->busyUntil > m_now;
-    reported.orders = target->orders;
     reported.startedAtMs = target->entry.startedAtMs;
-    reported.weights = target->entry.weights;
+    if (target->reportsLoads) {
+        reported.loads = {target->busyUntil > m_now, target->orders, target->entry.weights};
+    }
     deliverAfter(daemon, milliseconds{3}, std::move(reported));
 }
 
--- a/tests/test_node_weights.cpp
+++ b/tests/test_node_weights.cpp
@@ -132,6 +132,26 @@
     }
 }
 
+// Guards against an order that names a number of accepted orders which its upstream never reported.
+TEST(node_weights, sendsNoOrderToAnUpstreamThatDoesNotTellOfLoads)
+{
+    node_simulation simulation(3, 3, 6);
+    const auto setReports = [&](bool reports) {
+        for (std::size_t i = 0; i < 6; ++i) {
+            simulation.upstream(i).reportsLoads = reports;
+        }
+    };
+    setReports(false);
+    simulation.run(kWarmUp);
+    simulation.setNamedVersion("m0", 2);
+    simulation.run(milliseconds{9000});
+    EXPECT_EQ(simulation.ordersSent(), 0U);
+    setReports(true);
+    simulation.run(milliseconds{9000});
+    EXPECT_EQ(countUpstreamsAtVersion(simulation, 6, "m0", 2), 3U);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
 TEST(node_weights, loadsUpstreamsThatCannotServeTheStepFirst)
 {
     // Pattern: the store was unavailable while versions were named; many upstreams are two versions behind
--- a/tests/test_platform_odd_entries.cpp
+++ b/tests/test_platform_odd_entries.cpp
@@ -206,6 +206,33 @@
     EXPECT_TRUE(isUsed(decodedUpstream(slow.dump())));
 }
 
+// Guards against an order that names a number of accepted orders which its upstream never reported.
+TEST(odd_entries, reportWithoutARequiredFieldTellsNothingOfLoads)
+{
+    const json report = json::parse(
+            R"({"busy":false,"seq_no":2,"models":[{"name":"m","version":1}],"born":5,"queue_depth":1})");
+    const auto decoded = [](const json &body) {
+        return platform::decodeStatusAnswer({1}, {{}, transfer_outcome::complete, 200, {}, body.dump()});
+    };
+    ASSERT_TRUE(decoded(report).loads.has_value());
+    EXPECT_EQ(*decoded(report).loads, (load_status{false, 2, {{{"m"}, {1}}}}));
+    for (const char *field : {"busy", "seq_no", "models"}) {
+        json odd = report;
+        odd.erase(field);
+        EXPECT_FALSE(decoded(odd).loads.has_value()) << field;
+        for (const json &value : {json(), json("1"), json(-1), json(0.5), json::object(), json::array({1})}) {
+            odd[field] = value;
+            EXPECT_FALSE(decoded(odd).loads.has_value()) << odd.dump();
+        }
+        // The upstream's process is still known by its start.
+        EXPECT_TRUE(decoded(odd).answered);
+        EXPECT_EQ(decoded(odd).startedAtMs, 5U);
+    }
+    json withoutStart = report;
+    withoutStart.erase("born");
+    EXPECT_TRUE(decoded(withoutStart).loads.has_value());
+}
+
 // Guards against a whole answer of the store that cannot be read because of one row in it.
 TEST(odd_entries, doNotKeepTheOthersFromBeingRead)
 {
