Each place that starts a call is tested with connections that fail at once

Cause: the client reported a call that could not be connected from within start().

Change: http_client.h promises that nothing is reported from within start() or cancel(). The calls of jvnode are started by outgoing_calls, split off the runtime, whose code is otherwise as before; the tests drive each of its twelve places, the store link and its relay, under sanitizers: no route, no descriptor, another family, an empty and an unreadable address. Processes of jvgate, jvrollout and jvfleet meet hosts and a store without a route, jvctl a daemon. A comment in daemon.cpp that said the opposite is gone.

With start() changed to report such a call itself, five of the six new in-process tests fail, two of them with a use after free. The tests of the other programs hold then: their table of calls only keeps an entry too many.

A trial of the test without descriptors failed alone and passed beside others: UBSan opens a pipe when it meets a dynamic type for the first time; eight lines without any of our code show the same report. The places are visited once before the descriptors end.

--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -14,7 +14,9 @@
 
 class connection_guard;
 
-/// Receives what becomes of one call. onFinished comes exactly once, unless the call is cancelled.
+/// Receives what becomes of one call. onFinished comes exactly once, unless the call is cancelled. All
+/// functions are called from the event loop, never from within start() or cancel(): callers hold references
+/// meanwhile.
 struct http_call_listener
 {
     /// Optional; receives the head of the response before anything else of it.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -305,7 +305,6 @@
         post(std::move(result));
     };
     listener.heldBytes = [received] { return *received; };
-    // A call that ends inside start() has already erased its handle; the entry left behind is harmless.
     m_calls[operation] = m_client->start(call, std::move(listener));
 }
 
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -34,38 +34,9 @@
 /// Interval at which a stopping process checks whether all replies are sent.
 constexpr milliseconds kShutdownPollInterval{20};
 
-/// Path at a peer that returns changes of the upstreams, and the timeouts of that request. They leave time to
-/// ask another daemon within the 2 s in which the removal of an upstream must be noticed.
-constexpr const char *kUpstreamDeltaPath = "/node/upstreams";
-constexpr milliseconds kUpstreamDeltaConnectTimeout{300};
-constexpr milliseconds kUpstreamDeltaTimeout{500};
-
-/// Paths at a peer that keep and return the origin of a stream, and the timeout of these requests.
-constexpr const char *kShareOriginPath = "/node/stream-origins";
-constexpr const char *kFindOriginPath = "/node/stream-origin";
-constexpr milliseconds kOriginTimeout{400};
-
 /// Allowance for the request line, which the configured limit of headers does not count.
 constexpr std::size_t kRequestLineBytes = 4096;
 
-/// Longest time in which a peer that takes a call accepts a connection.
-constexpr milliseconds kRelayConnectTimeout{300};
-
-call_http upstreamDeltaCall(const request_upstream_delta &request)
-{
-    call_http call;
-    call.target = request.peer;
-    call.method = "POST";
-    call.path = kUpstreamDeltaPath;
-    call.body = pack(request.after);
-    call.connectTimeout = kUpstreamDeltaConnectTimeout;
-    call.progressTimeout = kUpstreamDeltaTimeout;
-    return call;
-}
-
-/// Path at a peer that takes a call of a daemon without a path to the upstreams.
-constexpr const char *kRelayedCallPath = "/node/call";
-
 /// The entry server and the peer server number their exchanges independently; the reducer knows those of the
 /// peer server by this bit.
 constexpr std::uint64_t kPeerExchangeBit = std::uint64_t{1} << 63;
@@ -75,11 +46,6 @@
     return {exchange.value | kPeerExchangeBit};
 }
 
-answer_rank rankOf(bool repeatable)
-{
-    return repeatable ? answer_rank::repeatable : answer_rank::single;
-}
-
 http_client_limits clientLimits()
 {
     http_client_limits limits;
@@ -98,21 +64,10 @@
     void operator()(const read_rows &read) const { self.startStore(read, kStoreReadDeadline); }
     void operator()(const read_changes &read) const { self.startStore(read, kStoreReadDeadline); }
     void operator()(const commit_rows &commit) const { self.startStore(commit, commit.deadline); }
-    void operator()(const run_item &run) const { self.startRun(run); }
-    void operator()(const forward_call &forward) const
-    {
-        const op_id op = forward.op;
-        call_http call = self.m_port->encodeCall(forward);
-        call.rank = rankOf(forward.repeatable);
-        self.startCall(
-                op, call,
-                [runtime = &self, op](const http_call_finished &f) {
-                    return runtime->m_port->decodeCall(op, f);
-                },
-                forward.upstream);
-    }
-    void operator()(const forward_stream &forward) const { self.startStream(forward); }
-    void operator()(const relay_call &relayed) const { self.relayCall(relayed); }
+    void operator()(const run_item &run) const { self.m_outgoing->start(run); }
+    void operator()(const forward_call &forward) const { self.m_outgoing->start(forward); }
+    void operator()(const forward_stream &forward) const { self.m_outgoing->start(forward); }
+    void operator()(const relay_call &relayed) const { self.m_outgoing->start(relayed); }
     void operator()(const begin_stream &begun) const
     {
         const auto [server, exchange] = self.serverOf(begun.exchange);
@@ -132,65 +87,25 @@
         const auto [server, exchange] = self.serverOf(ended.exchange);
         server->end({exchange, !ended.complete});
     }
-    void operator()(const share_stream_origin &shared) const
-    {
-        self.askForOrigin(shared.op, shared.peer, kShareOriginPath, pack(shared.stream, shared.build));
-    }
-    void operator()(const find_stream_origin &wanted) const
-    {
-        self.askForOrigin(wanted.op, wanted.peer, kFindOriginPath, pack(wanted.stream, wanted.service));
-    }
+    void operator()(const share_stream_origin &shared) const { self.m_outgoing->start(shared); }
+    void operator()(const find_stream_origin &wanted) const { self.m_outgoing->start(wanted); }
     void operator()(const answer_stream_origin &answer) const
     {
         self.m_peerServer->reply({answer.exchange, kOk, {}, pack(answer.origin)});
     }
-    void operator()(const cancel_call &cancelled) const { self.cancel(cancelled.op); }
-    void operator()(const request_upstream_status &query) const
-    {
-        const op_id op = query.op;
-        self.startCall(
-                op, self.m_port->encodeStatusRequest(query),
-                [runtime = &self, op](const http_call_finished &f) {
-                    return runtime->m_port->decodeStatusReport(op, f);
-                },
-                query.upstream);
-    }
-    void operator()(const order_weights &order) const
-    {
-        const op_id op = order.op;
-        self.startCall(
-                op, self.m_port->encodeOrder(order),
-                [runtime = &self, op](const http_call_finished &f) {
-                    return runtime->m_port->decodeOrder(op, f);
-                },
-                order.upstream);
-    }
+    void operator()(const cancel_call &cancelled) const { self.m_outgoing->cancel(cancelled.op); }
+    void operator()(const request_upstream_status &query) const { self.m_outgoing->start(query); }
+    void operator()(const order_weights &order) const { self.m_outgoing->start(order); }
     void operator()(const call_duty &duty) const
     {
-        const op_id op = duty.op;
         if (self.now() > duty.sendBy) {
             // Reported from the loop like every other end.
-            self.post(call_ended{op, call_end::unreachable, 0, {}, {}});
+            self.post(call_ended{duty.op, call_end::unreachable, 0, {}, {}});
             return;
         }
-        call_http call = self.m_port->encodeDuty(duty);
-        call.target = self.m_settings.duties;
-        self.startCall(op, call, [runtime = &self, op](const http_call_finished &f) {
-            return runtime->m_port->decodeDuty(op, f);
-        });
-    }
-    void operator()(const request_upstream_delta &request) const
-    {
-        const op_id op = request.op;
-        self.startCall(op, upstreamDeltaCall(request), [op](const http_call_finished &f) {
-            upstream_delta delta;
-            // Without a valid answer the delta is marked unavailable, and the reducer asks another daemon or
-            // the store.
-            const bool valid
-                    = f.outcome == transfer_outcome::complete && f.status == kOk && unpack(f.body, delta);
-            return upstream_delta_received{op, valid ? std::move(delta) : upstream_delta{}};
-        });
+        self.m_outgoing->start(duty, self.m_settings.duties);
     }
+    void operator()(const request_upstream_delta &request) const { self.m_outgoing->start(request); }
     void operator()(const answer_upstream_delta &answer) const
     {
         self.m_peerServer->reply({answer.exchange, kOk, {}, pack(answer.delta)});
@@ -244,6 +159,13 @@
     , m_client(std::make_unique<http_client>(
               m_base, m_guard, clientLimits(),
               [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); }))
+    , m_outgoing(std::make_unique<outgoing_calls>(
+              *m_client, *m_port,
+              outgoing_call_listener{
+                      [this](event incoming) { post(std::move(incoming)); },
+                      [this](op_id op, const upstream_id &sender, int status, const http_headers &headers) {
+                          readNotices(op, sender, status, headers);
+                      }}))
     , m_store(std::make_unique<store_link>(m_base, *m_client, m_settings.platform, [this] { return now(); }))
     , m_tickTimer(std::make_unique<event_timer>(m_base,
                                                 [this] {
@@ -261,7 +183,7 @@
 
 node_runtime::~node_runtime()
 {
-    m_calls.clear();
+    m_outgoing.reset();
     m_entryServer.reset();
     m_readinessServer.reset();
     m_peerServer.reset();
@@ -552,137 +474,12 @@
                    });
 }
 
-void node_runtime::startRun(const run_item &run)
-{
-    const op_id op = run.op;
-    running_call &running = m_calls[op];
-    running.decoder = m_port->makeRunDecoder(run);
-    run_decoder *decoder = running.decoder.get();
-    call_http call = m_port->encodeRun(run);
-    call.rank = answer_rank::repeatable;
-    running.handle = m_client->start(
-            call, {[this, op, decoder, upstream = run.upstream](int status, const http_headers &headers) {
-                       readNotices(op, upstream, status, headers);
-                       decoder->onResponseHead(status, headers);
-                   },
-                   [this, op, decoder](const std::string &bytes) {
-                       auto chunks = decoder->onBodyBytes(bytes);
-                       if (!chunks.empty()) {
-                           post(run_progressed{op, std::move(chunks)});
-                       }
-                   },
-                   [this, op, decoder](const http_call_finished &finished) {
-                       post(run_ended{op, decoder->onFinished(finished)});
-                       m_calls.erase(op);
-                   },
-                   [decoder] { return decoder->heldBytes(); }});
-}
-
-void node_runtime::startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
-                             const upstream_id &upstream)
-{
-    http_call_listener listener;
-    if (!upstream.empty()) {
-        listener.onHead = [this, op, upstream](int status, const http_headers &headers) {
-            readNotices(op, upstream, status, headers);
-        };
-    }
-    listener.onFinished = [this, op, decode = std::move(decode)](const http_call_finished &finished) {
-        post(decode(finished));
-        m_calls.erase(op);
-    };
-    m_calls[op].handle = m_client->start(call, std::move(listener));
-}
-
-http_call_listener node_runtime::streamListener(op_id op)
-{
-    running_call &running = m_calls[op];
-    running.streamDecoder = m_port->makeStreamDecoder();
-    stream_decoder *decoder = running.streamDecoder.get();
-    http_call_listener listener;
-    listener.onHead = [this, op, decoder](int status, const http_headers &headers) {
-        if (auto forwarded = decoder->onResponseHead(status, headers)) {
-            post(stream_started{op, *std::move(forwarded)});
-        }
-    };
-    listener.onChunk = [this, op, decoder](const std::string &bytes) {
-        auto events = decoder->onBodyBytes(bytes);
-        if (!events.empty()) {
-            post(stream_progressed{op, std::move(events)});
-        }
-    };
-    listener.onFinished = [this, op, decoder](const http_call_finished &finished) {
-        post(decoder->onFinished(op, finished));
-        m_calls.erase(op);
-    };
-    listener.heldBytes = [decoder] { return decoder->heldBytes(); };
-    return listener;
-}
-
-void node_runtime::startStream(const forward_stream &forward)
-{
-    const op_id op = forward.op;
-    http_call_listener listener = streamListener(op);
-    listener.onHead = [this, op, upstream = forward.upstream,
-                       onHead = std::move(listener.onHead)](int status, const http_headers &headers) {
-        readNotices(op, upstream, status, headers);
-        onHead(status, headers);
-    };
-    call_http call = m_port->encodeStream(forward);
-    call.rank = rankOf(forward.resumable);
-    m_calls.at(op).handle = m_client->start(call, std::move(listener));
-}
-
 std::pair<http_server *, exchange_id> node_runtime::serverOf(exchange_id exchange) const
 {
     const bool isPeer = (exchange.value & kPeerExchangeBit) != 0;
     return {isPeer ? m_peerServer.get() : m_entryServer.get(), {exchange.value & ~kPeerExchangeBit}};
 }
 
-void node_runtime::relayCall(const relay_call &relayed)
-{
-    const op_id op = relayed.op;
-    call_http call;
-    call.target = relayed.peer;
-    call.method = "POST";
-    call.path = kRelayedCallPath;
-    call.body = packRelay(relayed);
-    call.connectTimeout = std::min(kRelayConnectTimeout, relayed.remainingTimeout);
-    call.progressTimeout = relayed.progressTimeout;
-    call.streamed = relayed.isStream;
-    http_call_listener listener;
-    if (relayed.isStream) {
-        listener = streamListener(op);
-        listener.onHead = [onHead = std::move(listener.onHead)](int status, const http_headers &headers) {
-            if (!isRelayedAnswer(headers)) {
-                onHead(status, headers);
-            }
-        };
-    }
-    listener.onFinished = [this, op, isStream = relayed.isStream](const http_call_finished &finished) {
-        post(decodeRelayEnd(op, finished, isStream ? m_calls.at(op).streamDecoder.get() : nullptr));
-        m_calls.erase(op);
-    };
-    m_calls[op].handle = m_client->start(call, std::move(listener));
-}
-
-void node_runtime::askForOrigin(op_id op, const endpoint &peer, const char *path, std::string body)
-{
-    call_http call;
-    call.target = peer;
-    call.method = "POST";
-    call.path = path;
-    call.body = std::move(body);
-    call.connectTimeout = kOriginTimeout;
-    call.progressTimeout = kOriginTimeout;
-    startCall(op, call, [op](const http_call_finished &f) {
-        stream_origin origin;
-        const bool valid
-                = f.outcome == transfer_outcome::complete && f.status == kOk && unpack(f.body, origin);
-        return stream_origin_received{op, valid ? std::optional(std::move(origin)) : std::nullopt};
-    });
-}
-
 void node_runtime::readNotices(op_id op, const upstream_id &upstream, int status, const http_headers &headers)
 {
     switch (m_port->decodeLeaveNotice(status, headers)) {
@@ -709,15 +506,6 @@
     }
 }
 
-void node_runtime::cancel(op_id op)
-{
-    const auto found = m_calls.find(op);
-    if (found != m_calls.end()) {
-        m_client->cancel(found->second.handle);
-        m_calls.erase(found);
-    }
-}
-
 void node_runtime::writeLog(const log_decision &entry)
 {
     const auto leftOut = m_logLimiter.admit(entry.eventName, now());
--- a/src/node_runtime.h
+++ b/src/node_runtime.h
@@ -3,6 +3,7 @@
 
 #include "connection_guard.h"
 #include "log_limiter.h"
+#include "node_outgoing_calls.h"
 #include "node_port.h"
 #include "node_settings.h"
 #include "node_store_link.h"
@@ -33,14 +34,6 @@
     struct effect_executor;
     friend struct effect_executor;
 
-    /// A call in progress to an upstream or a peer.
-    struct running_call
-    {
-        http_call_handle handle;
-        std::unique_ptr<run_decoder> decoder;
-        std::unique_ptr<stream_decoder> streamDecoder;
-    };
-
     instant now() const;
     static wall_time wallNow();
     void post(event incoming);
@@ -61,22 +54,10 @@
     void onPeerRequest(const http_request_received &request);
     void reply(reply_http answer);
     void startStore(const store_effect &operation, milliseconds deadline);
-    void startRun(const run_item &run);
-    /// @param upstream receiver of the call, which may announce in its response that it is leaving; empty for
-    /// a call to a peer.
-    void startCall(op_id op, const call_http &call, std::function<event(http_call_finished)> decode,
-                   const upstream_id &upstream = {});
-    /// Creates the decoder of a streamed call. @returns the listener that posts what it decodes.
-    http_call_listener streamListener(op_id op);
-    void startStream(const forward_stream &forward);
-    void relayCall(const relay_call &relayed);
     /// @returns the server of an exchange that the reducer knows, and the server's own id for it.
     std::pair<http_server *, exchange_id> serverOf(exchange_id exchange) const;
-    /// Sends a request about the origin of a stream to a peer.
-    void askForOrigin(op_id op, const endpoint &peer, const char *path, std::string body);
     /// Posts what the head of an upstream's response says about the upstream itself.
     void readNotices(op_id op, const upstream_id &upstream, int status, const http_headers &headers);
-    void cancel(op_id op);
     void writeLog(const log_decision &entry);
     /// Ends the event loop once all replies are sent, or when the stop grace time is over; until then it
     /// checks again periodically.
@@ -95,6 +76,7 @@
     log_limiter m_logLimiter;
     connection_guard m_guard;
     std::unique_ptr<http_client> m_client;
+    std::unique_ptr<outgoing_calls> m_outgoing;
     std::unique_ptr<store_link> m_store;
     /// Version of the configuration whose limits are in force.
     std::uint64_t m_limitsVersion = 0;
@@ -103,7 +85,6 @@
     std::unique_ptr<http_server> m_peerServer;
     std::unique_ptr<http_server> m_metricsServer;
     std::deque<event> m_queue;
-    std::map<op_id, running_call> m_calls;
     std::unique_ptr<event_timer> m_tickTimer;
     std::unique_ptr<event_timer> m_shutdownTimer;
     ::event *m_queueEvent = nullptr;
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -155,6 +155,8 @@
     std::vector<std::string> scorerOptions;
     /// Fields that replace those of every daemon's settings.
     nlohmann::json daemonSettings = nlohmann::json::object();
+    /// Entries of the host list without a process of this fleet.
+    nlohmann::json otherHosts = nlohmann::json::array();
 };
 
 /// Role of a process in a fleet, as in the platform's host list.
--- a/tests/standins/process_fleet.cpp
+++ b/tests/standins/process_fleet.cpp
@@ -197,7 +197,7 @@
 
 void fleet::publishHosts()
 {
-    json hosts = json::array();
+    json hosts = m_shape.otherHosts;
     for (const auto &one : m_members) {
         hosts.push_back(hostEntry(*one));
     }
--- a/tests/test_ctl_processes.cpp
+++ b/tests/test_ctl_processes.cpp
@@ -30,11 +30,16 @@
         folder.write("token", bearer.substr(bearer.find(' ') + 1) + "\n");
     }
 
+    std::string bothGates()
+    {
+        return absl::StrCat(toString(processes.gate(0).http()), ",", toString(processes.gate(1).http()));
+    }
+
     /// @returns the exit code.
-    int run(std::vector<std::string> arguments)
+    int run(const std::vector<std::string> &arguments) { return runAt(bothGates(), arguments); }
+
+    int runAt(const std::string &daemons, std::vector<std::string> arguments)
     {
-        const std::string daemons
-                = absl::StrCat(toString(processes.gate(0).http()), ",", toString(processes.gate(1).http()));
         arguments.insert(arguments.end(), {"--daemons", daemons, "--token-file", folder.path() / "token"});
         child_process ctl("jvctl", arguments, folder.path() / absl::StrCat("run-", ++runs));
         const int code = ctl.wait().value_or(-1);
@@ -104,3 +109,14 @@
     ASSERT_EQ(steps, (std::vector<std::string>{"config-change-received", "config-change-accepted",
                                                "config-in-force", "config-in-force"}));
 }
+
+// Guards against a command line that ends in a fault because a connection fails at once.
+TEST_F(ctl_processes, daemonWithoutARouteIsAFailureLikeOthers)
+{
+    const std::string noRoute = "127.255.255.255:8144";
+    EXPECT_EQ(runAt(noRoute, {"config", "history"}), 1) << output;
+    EXPECT_EQ(runAt(noRoute, {"config", "set", kKey, "3", "--reason", "trial"}), 1) << output;
+    EXPECT_EQ(runAt(noRoute + "," + bothGates(), {"config", "set", kKey, "3", "--reason", "trial"}), 0)
+            << output;
+    EXPECT_TRUE(printed("accepted: revision 1")) << output;
+}
