--- a/tests/test_platform_outgoing_calls.cpp
+++ b/tests/test_platform_outgoing_calls.cpp
@@ -292,4 +292,26 @@
     }
 }
 
+// Guards against an answer with the status 000 that a daemon takes for an answer, whoever sends it.
+TEST(calls_without_answer, statusZeroIsNoAnswerAtAnyPlace)
+{
+    const test_loop loop;
+    const raw_server server(loop.base(), [](bufferevent *connection, const std::string &) {
+        const std::string answer = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}";
+        bufferevent_write(connection, answer.data(), answer.size());
+    });
+    started_calls calls(loop);
+    for (const call_place &place : callPlaces()) {
+        calls.expectEndFromTheLoop(place, server.where(), call_end::malformed);
+    }
+    http_client client(loop.base());
+    store_link link(loop.base(), client, server.where(), steadyNow);
+    std::optional<store_answer> answer;
+    link.start({"POST", "/v1/rows-tx", "{}", true, {}}, milliseconds{50},
+               [&](store_answer given) { answer = std::move(given); });
+    ASSERT_TRUE(loop.runUntil([&] { return answer.has_value(); }));
+    EXPECT_EQ(answer->status, 0);
+    EXPECT_TRUE(answer->outcomeUnknown);
+}
+
 } // namespace jacinthvale
