Hosts and statuses that lack a field are no longer used

What could be seen: jvgate, jvrollout and jvfleet used an entry of the host list that named only host, role and address, as one of no zone, with the incarnation 0 and alive; a status of an upstream that named only its incarnation counted as one without loads and without work.

Cause: a missing field became its default. docs/PROTOCOLS.md names the fields of both documents.

Evidence: membership.readsOnlyWellFormedHosts expected such an entry to be used.

Change: the check of platform_fields is in src/foreign_fields now and serves these two as well. An entry at fault is recorded once and counted with the name of the field; a host in use counts as absent from the list then, which drops it after as many lists as any other. A status at fault is as no answer.

Tests: usesNoHostWithoutARequiredField and takesNoStatusWithoutARequiredField, a row a field; recordsAHostThatCannotBeReadOnce. readsOnlyWellFormedHosts has a whole entry in place of the one that it took for well formed, and checks the names of the faults besides, so it is stricter than before.

--- a/include/jacinthvale/membership.h
+++ b/include/jacinthvale/membership.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jacinthvale {
@@ -28,9 +29,26 @@
     auto operator<=>(const listed_host &) const = default;
 };
 
-/// Parses the body of the platform's GET /hosts. Entries that are not well formed are left out.
+/// Entry of the host list that is not used.
+struct unreadable_host
+{
+    /// Empty if the entry does not tell.
+    std::string host;
+    /// Field that is missing, of another type or out of range; empty if the entry as a whole cannot be read.
+    std::string field;
+
+    auto operator<=>(const unreadable_host &) const = default;
+};
+
+struct host_list
+{
+    std::vector<listed_host> hosts;
+    std::vector<unreadable_host> unreadable;
+};
+
+/// Parses the body of the platform's GET /hosts.
 /// @returns nothing where the body is not a host list at all.
-std::optional<std::vector<listed_host>> parseHostList(const std::string &body);
+std::optional<host_list> parseHostList(const std::string &body);
 
 /// What a status call of an upstream says.
 struct upstream_status
@@ -54,6 +72,8 @@
 {
     std::optional<operation_id> call;
     instant next{};
+    /// Entries of the last list that are not used.
+    std::set<unreadable_host> unreadable;
 };
 
 /// An upstream as this process knows it.
--- a/platform/platform_fields.h
+++ b/src/foreign_fields.h
@@ -1,14 +1,11 @@
-/// Fields of objects that the operator and the upstreams write.
+/// Fields of JSON objects that other programs write.
 #pragma once
 
-#include <jacinthvale/types.h>
-
-#include <map>
+#include <cstdint>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <span>
 
-namespace jacinthvale::platform {
+namespace jacinthvale {
 
 enum class field_need : std::uint8_t { required, optional };
 
@@ -22,7 +19,4 @@
 /// @returns the name of the first field that is missing or of another type; null if there is none.
 const char *findFault(const nlohmann::json &object, std::span<const foreign_field> fields);
 
-/// @returns the weights that an upstream lists, none if it lists no models; nullopt if the list is malformed.
-std::optional<std::map<model_id, weight_version>> decodeModels(const nlohmann::json &object);
-
-} // namespace jacinthvale::platform
+} // namespace jacinthvale
--- a/src/membership_reduce.cpp
+++ b/src/membership_reduce.cpp
@@ -131,26 +131,43 @@
         }
     }
 
-    void onHostList(const std::optional<std::vector<listed_host>> &hosts)
+    void onHostList(const std::optional<host_list> &list)
     {
-        const milliseconds wait = hosts ? kHostListPeriod : kHostListRetry;
+        const milliseconds wait = list ? kHostListPeriod : kHostListRetry;
         m_state.hostList.next = m_at.now + jittered(wait, m_at.random);
-        if (!hosts) {
+        if (!list) {
             m_effects.emplace_back(count_metric{"membership_host_list_failures_total", 1});
             return;
         }
+        recordUnreadable(list->unreadable);
         for (auto &[id, known] : m_state.upstreams) {
             ++known.missedPolls;
         }
         for (auto &[key, known] : m_state.peers) {
             ++known.missedPolls;
         }
-        for (const listed_host &host : *hosts) {
+        for (const listed_host &host : list->hosts) {
             isDaemonRole(host.role) ? takePeer(host) : takeUpstream(host);
         }
         dropMissing();
     }
 
+    /// The list is read again and again; an entry is told once until it can be read or is gone.
+    void recordUnreadable(const std::vector<unreadable_host> &entries)
+    {
+        std::set<unreadable_host> &known = m_state.hostList.unreadable;
+        for (const unreadable_host &entry : entries) {
+            if (!known.contains(entry)) {
+                m_effects.emplace_back(record_entry{
+                        "host-unreadable", entry.host,
+                        "field \"" + entry.field + "\" is missing, of another type or out of range"});
+                m_effects.emplace_back(
+                        count_metric{"membership_hosts_unreadable_total{field=\"" + entry.field + "\"}", 1});
+            }
+        }
+        known = {entries.begin(), entries.end()};
+    }
+
     void takePeer(const listed_host &host)
     {
         if (host.peer.empty() || host.incarnation == m_state.self.incarnation) {
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -63,6 +63,8 @@
     membership_state state;
     upstream_view told;
     bool everTold = false;
+    /// Entries of the host list that it recorded as unreadable.
+    std::vector<std::string> unreadableHosts;
 };
 
 /// Daemons whose datagrams arrive one tick later, or never.
@@ -139,6 +141,9 @@
             }
         } else if (const auto *sent = std::get_if<send_peer>(&what)) {
             send(from, *sent);
+        } else if (const auto *entry = std::get_if<record_entry>(&what);
+                   entry != nullptr && entry->eventName == "host-unreadable") {
+            m_daemons[from].unreadableHosts.push_back(entry->subject);
         }
     }
 
@@ -283,13 +288,82 @@
 {
     EXPECT_FALSE(parseHostList("{").has_value());
     EXPECT_FALSE(parseHostList(R"({"hosts": 3})").has_value());
-    const auto hosts = parseHostList(R"({"hosts": [3, {"host": "a", "role": "engine", "http": "127.0.0.1:1"},
-                                        {"host": "b", "role": "x", "http": "127.0.0.1:1"}]})");
-    ASSERT_TRUE(hosts.has_value());
-    EXPECT_EQ(hosts->size(), 1U);
+    const nlohmann::json unknownRole = hostEntry("b", "x", 9001, 1, "live");
+    const nlohmann::json hosts = {3, hostEntry("a", "engine", 9000, 1, "live"), unknownRole};
+    const auto list = parseHostList(nlohmann::json{{"hosts", hosts}}.dump());
+    ASSERT_TRUE(list.has_value());
+    ASSERT_EQ(list->hosts.size(), 1U);
+    EXPECT_EQ(list->hosts.front().host, "a");
+    EXPECT_EQ(list->unreadable, (std::vector<unreadable_host>{{"", ""}, {"b", "role"}}));
     EXPECT_FALSE(parseUpstreamStatus("{}").has_value());
 }
 
+// Guards against an entry of the host list that is used although one of its fields is missing.
+TEST(membership, usesNoHostWithoutARequiredField)
+{
+    const nlohmann::json whole = hostEntry("a", "engine", 9000, 1, "live");
+    for (const auto &[field, unused] : whole.items()) {
+        const bool isRequired = field != "checksFencing";
+        nlohmann::json odd = whole;
+        odd.erase(field);
+        const auto without = parseHostList(nlohmann::json{{"hosts", nlohmann::json::array({odd})}}.dump());
+        EXPECT_EQ(without->hosts.empty(), isRequired) << field;
+        for (const nlohmann::json &value :
+             {nlohmann::json(), nlohmann::json(-1), nlohmann::json::array({"a"})}) {
+            odd[field] = value;
+            const auto list = parseHostList(nlohmann::json{{"hosts", nlohmann::json::array({odd})}}.dump());
+            EXPECT_TRUE(list->hosts.empty()) << odd.dump();
+            ASSERT_EQ(list->unreadable.size(), 1U) << odd.dump();
+            EXPECT_EQ(list->unreadable.front().field, field);
+        }
+    }
+    nlohmann::json odd = whole;
+    odd["state"] = "resting";
+    EXPECT_TRUE(parseHostList(nlohmann::json{{"hosts", nlohmann::json::array({odd})}}.dump())->hosts.empty());
+    nlohmann::json newer = whole;
+    newer["rack"] = 7;
+    EXPECT_EQ(parseHostList(nlohmann::json{{"hosts", nlohmann::json::array({newer})}}.dump())->hosts.size(),
+              1U);
+}
+
+// Guards against an entry that nobody notices, and against one that fills the time line with each list.
+TEST(membership, recordsAHostThatCannotBeReadOnce)
+{
+    simulated_network one(1, 0);
+    nlohmann::json odd = hostEntry("b", "engine", 9001, 1, "live");
+    odd.erase("availabilityZone");
+    const auto listOf = [](const nlohmann::json &entry) {
+        return nlohmann::json{{"hosts", nlohmann::json::array({entry})}}.dump();
+    };
+    for (int i = 0; i < 3; ++i) {
+        one.giveList(0, listOf(odd));
+    }
+    EXPECT_EQ(one.at(0).unreadableHosts, (std::vector<std::string>{"b"}));
+    EXPECT_FALSE(one.at(0).everTold);
+    one.giveList(0, listOf(hostEntry("b", "engine", 9001, 1, "live")));
+    EXPECT_TRUE(one.at(0).everTold);
+    one.giveList(0, listOf(odd));
+    EXPECT_EQ(one.at(0).unreadableHosts.size(), 2U);
+}
+
+// Guards against a status without its number of loads, or of work, that counts as one of zero.
+TEST(membership, takesNoStatusWithoutARequiredField)
+{
+    const nlohmann::json whole
+            = {{"incarnation", 1}, {"swapCounter", 2}, {"running", 3},
+               {"queued", 4},      {"leaving", false}, {"models", nlohmann::json::array()}};
+    EXPECT_TRUE(parseUpstreamStatus(whole.dump()).has_value());
+    for (const auto &[field, unused] : whole.items()) {
+        nlohmann::json odd = whole;
+        odd.erase(field);
+        EXPECT_FALSE(parseUpstreamStatus(odd.dump()).has_value()) << field;
+        for (const nlohmann::json &value : {nlohmann::json(), nlohmann::json(-1), nlohmann::json("1")}) {
+            odd[field] = value;
+            EXPECT_FALSE(parseUpstreamStatus(odd.dump()).has_value()) << odd.dump();
+        }
+    }
+}
+
 TEST(membership, keepsToItsBudgetOfBytesWhileEveryLoadChanges)
 {
     constexpr int kUpstreams = 600;
