--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,13 +4,12 @@
 import base64
 import json
 import pathlib
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common-3"))
 import stage as st  # noqa: E402
-from stage import http11, wire  # noqa: E402
+from stage import wire  # noqa: E402
 
 # The long item: 40 events of 20 KB, 4 s. Its result, 0.8 MB, fits a page of 1 MB and no transaction of 1 MB as base64.
 LONG, LONG_EVENTS, LONG_EVENT_BYTES = "itemlong", 40, 20_000
--- a/review/common-3/stage.py
+++ b/review/common-3/stage.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-import base64
+import bisect
 import json
 import os
 import pathlib
@@ -32,46 +32,101 @@
     """The case did not come about."""
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+def first_free_port(start):
+    """Ports below those that the system gives to outgoing connections."""
+    for port in range(start, 32000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+                return port
+            except OSError:
+                continue
+    raise CannotRun("no free port")
+
+
+class Connection(asyncio.Protocol):
+    """A connection to the store. Requests come one after the other."""
+
+    def __init__(self, store, name):
+        self.store, self.name, self.buffer, self.transport, self.waiting = store, name, b"", None, None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def connection_lost(self, problem):
+        if self.waiting:
+            self.waiting.cancel()
+
+    def data_received(self, data):
+        self.buffer += data
+        while self.waiting is None:
+            end = self.buffer.find(b"\r\n\r\n")
+            if end < 0:
+                return
+            head = self.buffer[:end].decode("latin-1")
+            lines = head.split("\r\n")
+            length = next((int(line[15:]) for line in lines if line.lower().startswith("content-length:")), 0)
+            if len(self.buffer) < end + 4 + length:
+                return
+            body, self.buffer = self.buffer[end + 4:end + 4 + length], self.buffer[end + 4 + length:]
+            message = http11.Message(lines[0].split(" ", 2), {}, body)
+            self.waiting = asyncio.get_running_loop().create_task(self.answer(message))
+
+    async def answer(self, message):
+        try:
+            answer = await self.store.answer_to(self.name, message)
+        finally:
+            self.waiting = None
+        if not self.transport.is_closing():
+            self.transport.write(answer)
+            self.data_received(b"")
 
 
 class Store(wire.Store):
-    """Each daemon has an address of its own here, so that the store knows who wrote."""
+    """The store by the pages. Each daemon has an address of its own here, so that the store knows who asks."""
 
     def __init__(self, seed):
         super().__init__(random.Random(seed))
+        self.on_read = None  # called as (reader's name, request) before each read
         self.on_transaction = None  # called as (writer's name, body, status) after each transaction, before its answer
-        self.doors = []
+        self.doors, self.news = [], {}
 
     async def door(self, name):
         """Opens an address for the daemon of that name."""
-        async def handle(request, writer):
-            if request.target.path != "/v1/rows-tx":
-                return await self.handle(request, writer)
-            await asyncio.sleep(wire.TRANSACTION_S + self.slow_s)
-            return await self.transact(name, request, writer)
-        server = http11.Server(handle)
+        server = await asyncio.get_running_loop().create_server(lambda: Connection(self, name), LOOPBACK, 0)
         self.doors.append(server)
-        return await server.start(LOOPBACK)
-
-    async def transact(self, name, request, writer):
+        return server.sockets[0].getsockname()
+
+    async def answer_to(self, name, request):
+        path = request.target.path
+        if path == "/v1/rows-tx":
+            await asyncio.sleep(wire.TRANSACTION_S)
+            return self.transact(name, request)
+        if self.on_read:
+            self.on_read(name, request)
+        if path == "/v1/rows-get":
+            return self.read(request)
+        if path == "/v1/rows-feed":
+            return await self.feed(request)
+        return http11.response(404)
+
+    def apply(self, body):
+        answer = super().apply(body)
+        for table in {entry["table"] for entry in body.get("puts", []) + body.get("remove", [])}:
+            if table in self.news:
+                self.news.pop(table).set()
+        return answer
+
+    def transact(self, name, request):
         body = json.loads(request.body)
         entries = sum(len(body.get(kind, [])) for kind in ("expected", "puts", "remove"))
-        values = [len(base64.b64decode(put["value"])) for put in body.get("puts", [])]
+        values = [len(put["value"]) * 3 // 4 for put in body.get("puts", [])]
         if entries > CALL_ENTRIES or len(request.body) > CALL_BYTES or max(values, default=0) > ROW_BYTES:
-            writer.write(http11.response(400))
-            return True
+            return http11.response(400)
         answer = self.apply(body)
-        status = int(answer.split(b" ", 2)[1])
         if self.on_transaction:
-            self.on_transaction(name, body, status)
-        async with self.changed:
-            self.changed.notify_all()
-        writer.write(answer)
-        return True
+            self.on_transaction(name, body, int(answer.split(b" ", 2)[1]))
+        return answer
 
     def read(self, request):
         table, part = request.query("table"), request.query("part")
@@ -86,6 +141,24 @@
             rows.append(row)
         return self.answer(200, rows=rows, has_more=len(rows) < len(keys))
 
+    async def feed(self, request):
+        table, after = request.query("table"), int(request.query("after", "0"))
+        end = time.monotonic() + int(request.query("wait_ms", "0")) / 1000
+        while True:
+            if after < self.history_from:
+                return http11.response(410)
+            start = bisect.bisect_right(self.log, after, key=lambda entry: entry[0])
+            keys = dict.fromkeys(key for _, key in self.log[start:] if key[0] == table)
+            left = end - time.monotonic()
+            if keys or left <= 0:
+                return self.answer(200, rows=[self.row(key) for key in keys], has_more=False)
+            news, after = self.news.setdefault(table, asyncio.Event()), max(after, self.version)
+            try:
+                async with asyncio.timeout(left):
+                    await news.wait()
+            except TimeoutError:
+                pass
+
 
 class Daemon:
     """One jvnode process, started with the command of the deploy file."""
@@ -101,7 +174,7 @@
 
     async def start(self):
         if not self.ports:
-            self.ports = {what: free_port() for what in ("entry", "readiness", "peer", "metrics")}
+            self.ports = {what: self.stage.free_port() for what in ("entry", "readiness", "peer", "metrics")}
             self.store = await self.stage.store.door(self.name)
         settings = {f"{what}Address": f"{LOOPBACK}:{port}" for what, port in self.ports.items()}
         settings |= {"host": self.name, "availabilityZone": "z", "platformAddress": "%s:%d" % self.store,
@@ -142,6 +215,12 @@
         self.record_file = (self.case / "record.txt").open("w")
         self.attempts = 0
         self.broken = []
+        self.next_port = 20000 + os.getpid() % 8000
+
+    def free_port(self):
+        port = first_free_port(self.next_port)
+        self.next_port = port + 1
+        return port
 
     def record(self, text):
         print(f"{time.monotonic() - self.began:8.3f} s  {text}", file=self.record_file, flush=True)
@@ -170,11 +249,11 @@
         self.daemons = [Daemon(self, f"h{n}") for n in range(count)]
         for daemon in self.daemons:
             await daemon.start()
-        end = time.monotonic() + 15
-        while not all([await daemon.ready() for daemon in self.daemons]):
+        end = time.monotonic() + 15 + count * 0.1
+        while not all(await asyncio.gather(*(daemon.ready() for daemon in self.daemons))):
             if time.monotonic() > end:
-                raise CannotRun("the daemons are not ready after 15 s")
-            await asyncio.sleep(0.1)
+                raise CannotRun("the daemons are not ready in time")
+            await asyncio.sleep(0.1 + count * 0.01)
         self.record(f"{count} daemons are ready")
 
     def by_name(self, name):
