--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,6 @@
-"""A process is killed while it stores a long result; a short one is listed at that position."""
+"""A daemon that reads the list of servers for others is killed while a server leaves; some never learn that it left."""
 
 import asyncio
-import base64
-import json
 import pathlib
 import sys
 import time
@@ -11,157 +9,133 @@
 import stage as st  # noqa: E402
 from stage import wire  # noqa: E402
 
-# The long item: 40 events of 20 KB, 4 s. Its result, 0.8 MB, fits a page of 1 MB and no transaction of 1 MB as base64.
-LONG, LONG_EVENTS, LONG_EVENT_BYTES = "itemlong", 40, 20_000
-# The short items: 46 events of 40 bytes, 4.6 s. They end after the long one, and before a second run of it.
-SHORT, SHORT_EVENTS = ("itemshorta", "itemshortb"), 46
-EVENT_S = 0.1
-WATCH_S = 16.0
-
-
-def event_text(item, number):
-    text = f"{item}:{number}:"
-    return text.ljust(LONG_EVENT_BYTES if item == LONG else 40, "x")
-
-
-def whole_text(item):
-    events = LONG_EVENTS if item == LONG else SHORT_EVENTS
-    return "\n".join(event_text(item, number) for number in range(1, events + 1))
-
-
-class Engine(wire.Upstream):
-    """A model server: one event each 0.1 s; it resumes after Last-Event-Id."""
-
-    stage = None
-
-    async def generate(self, request, writer, echo):
-        item = request.headers[wire.ID]
-        after = int(request.headers.get("last-event-id", "0"))
-        self.stage.record(f"{self.id} runs {item} after event {after}")
-        version = self.versions[request.headers[wire.MODEL]]
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in echo.items())
-        writer.write((head + f"{wire.SEAL}: s\r\n{wire.VERSIONS}: {version}\r\n\r\n").encode())
-        events = LONG_EVENTS if item == LONG else SHORT_EVENTS
-        for number in range(after + 1, events + 1):
-            await asyncio.sleep(EVENT_S)
-            if writer.is_closing() or not self.up:
-                return False
-            event = f"id: {number}\ndata: {event_text(item, number)}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        self.stage.record(f"{self.id} has made all events of {item}")
-        return True
-
-
-def batch_body():
-    requests = []
-    for item in (LONG, *SHORT):
-        tokens = 2400 if item == LONG else 2800
-        requests.append({"id": item, "path": f"{wire.BATCH_PREFIX}{item}", "tokens": tokens + 40, "group": f"g{item}",
-                         "headers": {"Jacinthvale-Model": "m0", "Jacinthvale-Token-Count": f"40,{tokens}"},
-                         "body": base64.b64encode(b"prompt").decode()})
-    return json.dumps({"train_step": 0, "model": "m0", "min_version": 1, "group_count": 3,
-                       "requests": requests}).encode()
-
-
-class LongResult:
-    """Kills the process that wrote last under a condition, once it has stored a part of the long result."""
-
+# From 100 daemons on, eight of them read the list from the store and the others ask those.
+DAEMONS, READERS = 104, 8
+# Bounds of the sheet of the large deployment.
+DRAIN_S, CONTACT_S = 4.0, 5.0
+# The leaving server serves for drain_ms after its entry is gone and some seconds more.
+LINGER_S = 8.0
+CALM_S, CALL_PAUSE_S = 8.0, 1.0
+KILL_TO_REMOVAL_S, KILL_TO_START_S = 0.4, 0.5
+WORK_S = (0.3, 0.5)
+
+
+class Application(wire.Upstream):
+    """A server of a plain service; tells the case which requests it ran and when."""
+
+    case = None
+
+    async def handle(self, request, writer):
+        wanted = request.headers.get(wire.INSTANCE)
+        if self.up and wanted == self.id and request.headers.get(wire.ID):
+            self.case.on_request(self, request.headers[wire.ID])
+        return await super().handle(request, writer)
+
+    left = False
+
+    async def serve(self, request, writer, echo):
+        await asyncio.sleep(self.random.uniform(*WORK_S) * self.pace)
+        if self.up:
+            body = wire.answer_body(request.target.path, echo[wire.ID], request.body)
+            writer.write(st.http11.response(200, body, echo | {wire.SEAL: "s"}))
+        return self.up
+
+    async def beat(self):
+        beats = 0
+        while self.up and not self.left:
+            beats += 1
+            host, port = self.told_address
+            await self.store.publish("servers", self.id, {
+                "service": self.service, "address": f"{host}:{port}", "zone": "z", "version": self.software,
+                "slots": self.slots, "state": "ready", "cold_left_ms": 0, "seq_no": beats, "born": self.born})
+            await asyncio.sleep(wire.BEAT_S)
+
+
+class Case:
     def __init__(self, stage):
-        self.stage, self.killed, self.killed_at, self.parts = stage, None, 0.0, 0
-
-    def on_transaction(self, name, body, status):
-        puts = [put for put in body.get("puts", []) if put["table"] == "results"]
-        if not puts or status != 200:
-            return
-        size = sum(len(put["value"]) for put in puts)
-        self.stage.record(f"{name} stores rows {puts[0]['key']} to {puts[-1]['key']}, {size} bytes")
-        if size < 600_000 or self.killed:
-            return
-        self.parts += 1
-        if self.stage.trouble:
-            self.killed, self.killed_at = self.stage.by_name(name), time.monotonic()
-            self.killed.kill_now()
-            self.stage.record(f"SIGKILL to {name}, which wrote last under a condition")
-
-
-class Reader:
-    """Reads the batch job at all daemons and keeps what was read at each position."""
-
-    def __init__(self, stage, batch):
-        self.stage, self.batch = stage, batch
-        self.known = {}  # position -> (time of the first read, daemon, result)
-        self.told = set()
-
-    async def read(self, daemon, after, excused):
-        asked = time.monotonic()
-        answer = await daemon.call("GET", wire.page_path(self.batch, after), self.stage.attempt("r"), limit=2.5)
-        if answer is None or answer.status == 503:
-            return
-        if answer.status != 200:
-            if not excused:
-                self.fault(daemon, after, f"answers {answer.status} for the batch job")
+        self.stage = stage
+        self.sent = {}  # attempt -> (daemon, time)
+        self.statuses = {}
+        self.leaving, self.gone_at, self.over = None, None, False
+        self.reads = {}  # daemon -> number of its reads of the list of servers
+        self.killed = None
+        self.late = {}  # daemon -> requests that reached the server after drain_ms
+        self.late_attempts, self.lost = set(), 0
+
+    def on_read(self, name, request):
+        if request.target.path == "/v1/rows-feed" and request.query("table") == "servers":
+            self.reads[name] = self.reads.get(name, 0) + 1
+
+    def on_request(self, server, attempt):
+        if server is not self.leaving or self.gone_at is None or attempt not in self.sent:
             return
-        total, results = wire.decode_page(answer.body)
-        for position, result in enumerate(results, after):
-            if position not in self.known:
-                self.known[position] = (time.monotonic(), daemon.name, result)
-                self.stage.record(f"{daemon.name}: position {position} is {result[0]}, {result[1]}, {len(result[2])} bytes")
-            elif self.known[position][2] != result:
-                self.fault(daemon, position, f"position {position} is {result[0]}, it was {self.known[position][2][0]}")
-            if result[1] == "succeeded" and result[2] != whole_text(result[0]):
-                self.fault(daemon, position, f"{result[0]} has another text")
-        missing = after + len(results)
-        if missing in self.known and not results and not excused and asked - self.known[missing][0] > st.SETTLE_S:
-            read_at, name, result = self.known[missing]
-            self.fault(daemon, missing, f"has nothing at position {missing}, where {name} showed {result[0]} "
-                       f"{asked - read_at:.2f} s before")
-
-    def fault(self, daemon, position, text):
-        if (daemon.name, position) not in self.told:
-            self.told.add((daemon.name, position))
-            self.stage.rule_broken(f"{daemon.name} {text}")
+        after = time.monotonic() - self.gone_at
+        daemon, sent_at = self.sent[attempt]
+        # Only what the client sent after that time, too: the time of this process's own work isn't held against jvnode.
+        if sent_at - self.gone_at > DRAIN_S and daemon is not self.killed:
+            self.late_attempts.add(attempt)
+            count = self.late[daemon.name] = self.late.get(daemon.name, 0) + 1
+            if count == 1:
+                self.stage.rule_broken(f"{attempt}, sent to {daemon.name}, reached {server.id} {after:.2f} s after its entry "
+                                       "was gone")
+
+    async def client(self, daemon, offset):
+        """One client of each daemon: a request a second, on an unsafe route and a new connection."""
+        await asyncio.sleep(offset)
+        while not self.over:
+            began = time.monotonic()
+            if daemon.process.returncode is None and not (daemon is self.killed and began < daemon.started_at + 1):
+                attempt = self.stage.attempt("c")
+                self.sent[attempt] = (daemon, began)
+                answer = await daemon.call("POST", f"{wire.ONCE_PREFIX}{attempt}", attempt, b"x", limit=3)
+                status = answer.status if answer else "none"
+                self.lost += attempt in self.late_attempts and status != 200
+                self.statuses[status] = self.statuses.get(status, 0) + 1
+            await asyncio.sleep(max(0, CALL_PAUSE_S - (time.monotonic() - began)))
 
 
 async def case(stage):
-    config = wire.config(1, 0)
-    config["routes"][0] |= {"max_attempts": 3, "due_ms": 30000, "retention_s": 120}
-    for name in ("e0", "e1"):
-        engine = Engine(stage.store, stage.ledger, stage.store.random, name, "engines", 12)
-        engine.stage = stage
-        await stage.add_server(engine)
-    await stage.start(3, config)
-    await asyncio.sleep(st.CONTACT_S)
-    trouble = LongResult(stage)
-    stage.store.on_transaction = trouble.on_transaction
-    batch = stage.attempt("b")
-    answer = await stage.daemons[0].call("POST", wire.BATCH_PREFIX + batch, batch, batch_body())
-    stage.record(f"batch job {batch}: {answer and answer.status}")
-    if answer is None or answer.status != 202:
-        raise st.CannotRun("the batch job was not accepted")
-    reader = Reader(stage, batch)
-    end, restarted = time.monotonic() + 6 + WATCH_S, False
-    while time.monotonic() < end:
-        if trouble.killed and not restarted and time.monotonic() - trouble.killed_at > 0.5:
-            restarted = True
-            await trouble.killed.process.wait()
-            await trouble.killed.start()
-            stage.record(f"{trouble.killed.name} is started again")
-        for daemon in stage.daemons:
-            excused = daemon is trouble.killed and (
-                not restarted or time.monotonic() - daemon.started_at < st.CONTACT_S + 1)
-            if daemon.process.returncode is None:
-                # A trainer reads on from where it is, and at times from an earlier position.
-                for after in sorted({0, len(reader.known), max(0, len(reader.known) - 1)}):
-                    await reader.read(daemon, after, excused)
-        await asyncio.sleep(0.25)
-    if not trouble.parts:
-        raise st.CannotRun("no result was stored in parts")
-    stage.record(f"read: {[(p, known[2][0]) for p, known in sorted(reader.known.items())]}")
-    if len(reader.known) < 3 and not stage.broken:
-        raise st.CannotRun("the batch job did not end")
+    play = Case(stage)
+    stage.store.on_read = play.on_read
+    # "Servers of one service differ in speed": those of the site by 1.0, 1.0 and 1.3.
+    for name, pace in (("p0", 1.3), ("p1", 1.0)):
+        server = Application(stage.store, stage.ledger, stage.store.random, name, "plain", 120)
+        server.case, server.pace = play, pace
+        await stage.add_server(server)
+    await stage.start(DAEMONS, wire.config(1, 0))
+    for number, daemon in enumerate(stage.daemons):
+        stage.spawn(play.client(daemon, CALL_PAUSE_S * number / DAEMONS))
+    await asyncio.sleep(CALM_S)
+    play.reads.clear()
+    await asyncio.sleep(2)
+    readers = sorted(play.reads, key=play.reads.get, reverse=True)[:READERS]
+    stage.record(f"reads of the list from the store in 2 s, by daemon: {dict(sorted(play.reads.items()))}")
+    if len(play.reads) > DAEMONS / 2:
+        raise st.CannotRun("the daemons do not share the reads of the list")
+    victim = stage.by_name(readers[0])
+    stage.record(f"answers so far: {play.statuses}")
+    if stage.trouble:
+        play.killed = victim
+        victim.kill_now()
+        await victim.process.wait()
+        stage.record(f"SIGKILL to {victim.name}, which reads the list for others")
+    await asyncio.sleep(KILL_TO_REMOVAL_S)
+    play.leaving = stage.servers[1]
+    play.leaving.left = True  # it never reports draining, and goes on serving
+    await stage.store.publish("servers", play.leaving.id, None)
+    play.gone_at = time.monotonic()
+    stage.record(f"{play.leaving.id} leaves: its entry is gone, it serves {DRAIN_S + LINGER_S:.0f} s more")
+    await asyncio.sleep(KILL_TO_START_S - KILL_TO_REMOVAL_S)
+    if stage.trouble:
+        await victim.start()
+        stage.record(f"{victim.name} is started again")
+    await asyncio.sleep(DRAIN_S + LINGER_S)
+    play.leaving.crash()
+    await asyncio.sleep(1)
+    play.over = True
+    stage.record(f"{play.leaving.id} has exited; {play.lost} of the requests that came to it late got no answer of a server")
+    stage.record(f"answers: {play.statuses}")
+    stage.record(f"requests that reached it later than {DRAIN_S:.0f} s after its entry was gone, by daemon: {play.late}")
 
 
 if __name__ == "__main__":
