A daemon answers by differences only from the version on from which it knows all removals

Cause: eight daemons read the table of upstreams for the others. One that was killed and started again answered with the differences after the asker's version, although it knew no removal from before its first read. The asker took the version of that answer, and no later one named the removal. The same after a full read that followed lost history.

Ruled out: that askers lose answers, or that the store's feed leaves the removal out: the generated sequences show the fault with an intact store and no lost message.

Removals are kept for ids that were never known, too: a row can go away between two pages of a full read. The simulation ends requests to a daemon that is killed; without that, askers stood still in it.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -1027,6 +1027,9 @@
     /// Removed upstreams, oldest first, with the table's version at the removal; sent to daemons that request
     /// an upstream_delta.
     std::deque<std::pair<std::uint64_t, upstream_id>> removedUpstreams;
+    /// `removedUpstreams` names all removals after this version of the table. Earlier ones may be missing:
+    /// the last full read did not show them, or there was no room.
+    std::uint64_t removalsKnownSince = 0;
     /// Upstreams whose row cannot be used and is in the log.
     std::set<upstream_id> unreadableUpstreams;
     std::map<host_id, member> members;
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -95,20 +95,27 @@
     }
 }
 
-void removeUpstream(step &s, const upstream_id &id, const std::string &reason)
+/// Also for upstreams that this daemon never knew: others may know them.
+void recordRemoval(step &s, const upstream_id &id, std::uint64_t rowVersion)
 {
-    s.log("upstream-removed", id.value, reason);
-    recordBuildListed(s, buildOf(s.state.upstreams.at(id).entry));
-    s.state.upstreams.erase(id);
-    auto &removed = s.state.removedUpstreams;
     // The version of the removal is not always known; the row was absent at the version that is read now.
     const table_feed &feed = feedOf(s.state, table_id::upstreams);
-    removed.emplace_back(std::max(feed.version, feed.fullReadVersion), id);
+    auto &removed = s.state.removedUpstreams;
+    removed.emplace_back(std::max({feed.version, feed.fullReadVersion, rowVersion}), id);
     if (removed.size() > kMaxRemovedUpstreams) {
+        s.state.removalsKnownSince = std::max(s.state.removalsKnownSince, removed.front().first);
         removed.pop_front();
     }
 }
 
+void removeUpstream(step &s, const upstream_id &id, const std::string &reason, std::uint64_t rowVersion = 0)
+{
+    s.log("upstream-removed", id.value, reason);
+    recordBuildListed(s, buildOf(s.state.upstreams.at(id).entry));
+    s.state.upstreams.erase(id);
+    recordRemoval(s, id, rowVersion);
+}
+
 void recordFeedAnswer(step &s, table_feed &feed)
 {
     if (s.ctx.now - feed.answeredAt > maxAnswerGap(feed.pollInterval)) {
@@ -225,6 +232,7 @@
 {
     if (feed.table == table_id::upstreams) {
         retainUpstreams(s, feed.seenKeys);
+        s.state.removalsKnownSince = feed.fullReadVersion;
     }
     if (feed.table == table_id::daemons) {
         std::erase_if(s.state.members,
@@ -233,13 +241,15 @@
     feed.seenKeys.clear();
 }
 
-/// Another writer may repeat its row with each of its heartbeats.
-void recordUnreadable(step &s, const upstream_id &id, const unreadable_row &row)
+/// Another writer may repeat its row with each of its heartbeats. @returns true for the first of them.
+bool recordUnreadable(step &s, const upstream_id &id, const unreadable_row &row)
 {
-    if (s.state.unreadableUpstreams.insert(id).second) {
+    const bool isFirst = s.state.unreadableUpstreams.insert(id).second;
+    if (isFirst) {
         s.log("upstream-unreadable", id.value, faultOf(row) + "; upstream not used");
         s.emit(count{"upstreams_unreadable_total{field=\"" + row.field + "\"}"});
     }
+    return isFirst;
 }
 
 /// A row tells the time left as of its write; of several rows the one that names the earliest time holds.
@@ -262,14 +272,17 @@
 {
     const upstream_id id{change.row.key.key};
     const auto *entry = std::get_if<upstream_entry>(&change.decodedRow);
+    bool isNewlyUnusable = change.row.removed;
     if (const auto *unreadable = std::get_if<unreadable_row>(&change.decodedRow)) {
-        recordUnreadable(s, id, *unreadable);
+        isNewlyUnusable = recordUnreadable(s, id, *unreadable);
     } else {
         s.state.unreadableUpstreams.erase(id);
     }
     if (entry == nullptr) {
         if (s.state.upstreams.contains(id)) {
-            removeUpstream(s, id, change.row.removed ? "row removed" : "row unreadable");
+            removeUpstream(s, id, change.row.removed ? "row removed" : "row unreadable", change.row.version);
+        } else if (isNewlyUnusable) {
+            recordRemoval(s, id, change.row.version);
         }
         return;
     }
--- a/src/node_upstream_delta.cpp
+++ b/src/node_upstream_delta.cpp
@@ -36,6 +36,33 @@
     return readers;
 }
 
+void applyDelta(step &s, const upstream_delta &delta)
+{
+    const auto applyChange = [&](const upstream_id &id, decoded_row row, bool removed) {
+        onUpstreamRow(s, {{{table_id::upstreams, "", id.value}, delta.version, {}, removed}, std::move(row)});
+    };
+    for (const upstream_entry &entry : delta.changed) {
+        applyChange(entry.id, entry, false);
+    }
+    for (const upstream_id &id : delta.removed) {
+        applyChange(id, std::monostate{}, true);
+    }
+    if (delta.isFullSnapshot) {
+        std::set<std::string> receivedIds;
+        std::ranges::transform(delta.changed, std::inserter(receivedIds, receivedIds.end()),
+                               [](const upstream_entry &entry) { return entry.id.value; });
+        retainUpstreams(s, receivedIds);
+        s.state.removalsKnownSince = delta.version;
+    }
+}
+
+void recordFailedPeerRead(step &s, table_feed &feed)
+{
+    ++feed.failedPeerReads;
+    feed.nextAt
+            = s.ctx.now + (feed.failedPeerReads < kMaxFailedPeerReads ? kTickPeriod * 2 : milliseconds{0});
+}
+
 } // namespace
 
 std::optional<endpoint> upstreamDeltaSource(const step &s, const table_feed &feed)
@@ -61,9 +88,8 @@
     if (delta.available) {
         const auto &removed = s.state.removedUpstreams;
         delta.version = feed.version;
-        delta.isFullSnapshot
-                = request.after == 0
-                  || (removed.size() >= kMaxRemovedUpstreams && request.after < removed.front().first);
+        // Differences say that nothing else was removed since, which this daemon must know.
+        delta.isFullSnapshot = request.after == 0 || request.after < s.state.removalsKnownSince;
         for (const auto &[id, view] : s.state.upstreams) {
             if (delta.isFullSnapshot || view.lastChangeVersion > request.after) {
                 delta.changed.push_back(view.lastRow);
@@ -84,28 +110,12 @@
     const upstream_delta &delta = received.delta;
     feed.readOp = {};
     if (!delta.available) {
-        ++feed.failedPeerReads;
-        feed.nextAt = s.ctx.now
-                      + (feed.failedPeerReads < kMaxFailedPeerReads ? kTickPeriod * 2 : milliseconds{0});
+        recordFailedPeerRead(s, feed);
         return;
     }
     feed.failedPeerReads = 0;
     feed.version = std::max(feed.version, delta.version);
-    const auto applyChange = [&](const upstream_id &id, decoded_row row, bool removed) {
-        onUpstreamRow(s, {{{table_id::upstreams, "", id.value}, delta.version, {}, removed}, std::move(row)});
-    };
-    for (const upstream_entry &entry : delta.changed) {
-        applyChange(entry.id, entry, false);
-    }
-    for (const upstream_id &id : delta.removed) {
-        applyChange(id, std::monostate{}, true);
-    }
-    if (delta.isFullSnapshot) {
-        std::set<std::string> receivedIds;
-        std::ranges::transform(delta.changed, std::inserter(receivedIds, receivedIds.end()),
-                               [](const upstream_entry &entry) { return entry.id.value; });
-        retainUpstreams(s, receivedIds);
-    }
+    applyDelta(s, delta);
     feed.partitionIndex = feed.partitions.size();
     feed.seenKeys.clear();
     recordFeedRead(s, feed, delta.version);
--- a/tests/standins/node_simulation.cpp
+++ b/tests/standins/node_simulation.cpp
@@ -215,6 +215,12 @@
             deliverAfter(origin, kPeerLatency, relayed_call_ended{op, call_end::incomplete, std::nullopt});
         }
     }
+    std::erase_if(m_deltaRequests, [&](const auto &entry) {
+        if (entry.second.target == daemon) {
+            answerUpstreamDelta(entry.second, {});
+        }
+        return entry.second.target == daemon;
+    });
     std::erase_if(m_calls, [&](const auto &entry) {
         if (entry.first.first != daemon) {
             return false;
@@ -271,8 +277,7 @@
                     [&](const request_upstream_delta &e) { requestUpstreamDelta(daemon, e); },
                     [&](const answer_upstream_delta &e) {
                         if (const auto extracted = m_deltaRequests.extract(e.exchange); !extracted.empty()) {
-                            deliverAfter(extracted.mapped().first, kPeerLatency,
-                                         upstream_delta_received{extracted.mapped().second, e.delta});
+                            answerUpstreamDelta(extracted.mapped(), e.delta);
                         }
                     },
                     [&](const read_changes &e) {
@@ -448,9 +453,16 @@
         return;
     }
     const exchange_id exchange{++m_lastExchange};
-    m_deltaRequests[exchange] = {daemon, request.op};
-    deliverAfter(static_cast<std::size_t>(peer - m_daemons.begin()), kPeerLatency,
-                 upstream_delta_requested{exchange, request.after});
+    const auto target = static_cast<std::size_t>(peer - m_daemons.begin());
+    m_deltaRequests[exchange] = {daemon, m_daemons.at(daemon).generation, request.op, target};
+    deliverAfter(target, kPeerLatency, upstream_delta_requested{exchange, request.after});
+}
+
+void node_simulation::answerUpstreamDelta(const delta_request &request, const upstream_delta &delta)
+{
+    schedule(m_now + kPeerLatency, [this, request, delta] {
+        deliver(request.daemon, request.generation, upstream_delta_received{request.op, delta});
+    });
 }
 
 void node_simulation::readRows(std::size_t daemon, const read_rows &request)
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -220,6 +220,10 @@
     bool stallNewestRun(std::size_t upstream, milliseconds time);
     /// Restarts a crashed upstream without accepted orders; its weights remain.
     void restoreUpstream(std::size_t upstream);
+    /// Writes the row of an upstream as it is set, ahead of its next heartbeat.
+    void publishUpstream(std::size_t upstream) { writeUpstreamRow(m_upstreams.at(upstream)); }
+    /// Rows of upstreams that can be used, as the table holds them.
+    std::map<upstream_id, node::upstream_entry> usableUpstreamRows() const;
     /// Share of calls that break off; a tenth of it applies to each chunk of a run.
     /// @param end how the upstream breaks a call.
     void setBrokenCallShare(double share, node::call_end end = node::call_end::incomplete)
@@ -315,11 +319,22 @@
         std::uint64_t version = 0;
     };
 
+    /// Request of one daemon to another for changes of the table of upstreams.
+    struct delta_request
+    {
+        std::size_t daemon = 0;
+        /// Of the requesting daemon; its connection ends with its process.
+        std::uint64_t generation = 0;
+        node::op_id op;
+        std::size_t target = 0;
+    };
+
     void schedule(instant when, std::function<void()> action);
     void deliver(std::size_t daemon, std::uint64_t generation, node::event incoming);
     void deliverAfter(std::size_t daemon, milliseconds after, node::event incoming);
     void perform(std::size_t daemon, node::effect &requested);
     void requestUpstreamDelta(std::size_t daemon, const node::request_upstream_delta &request);
+    void answerUpstreamDelta(const delta_request &request, const node::upstream_delta &delta);
     void readRows(std::size_t daemon, const node::read_rows &request);
     void readChanges(std::size_t daemon, const node::read_changes &request, instant requestedAt);
     void commit(std::size_t daemon, const node::commit_rows &transaction, instant deadline, bool answerLost);
@@ -433,9 +448,8 @@
     std::map<exchange_id, simulated_answer> m_answers;
     std::map<std::string, std::optional<node::account_id>> m_accountsSeen;
     std::uint64_t m_lastExchange = 0;
-    /// Requesting daemon and its operation, by the exchange at the daemon that answers an upstream delta
-    /// request.
-    std::map<exchange_id, std::pair<std::size_t, node::op_id>> m_deltaRequests;
+    /// By the exchange at the daemon that is asked.
+    std::map<exchange_id, delta_request> m_deltaRequests;
     double m_storeReads = 0;
     std::optional<milliseconds> m_revocationBound;
     std::optional<node::duty_settings> m_dutySettings;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -534,6 +534,18 @@
     }
 }
 
+std::map<upstream_id, upstream_entry> node_simulation::usableUpstreamRows() const
+{
+    std::map<upstream_id, upstream_entry> usable;
+    for (const auto &[key, decoded] : m_foreign) {
+        const auto *entry = std::get_if<upstream_entry>(&decoded);
+        if (key.table == table_id::upstreams && m_rows.contains(key) && entry != nullptr) {
+            usable.emplace(entry->id, *entry);
+        }
+    }
+    return usable;
+}
+
 void node_simulation::writeUpstreamHeartbeats()
 {
     std::ranges::for_each(m_upstreams,
