A table of upstreams that is older than the known one is not taken

Callers saw: nothing reported. A daemon could send requests to an upstream that had left, or never again use one that had come, until that row changed.

A daemon whose history of the table is lost asks another daemon for the whole table and took it whatever its version was, but kept its own, newer version; later differences start from that one.

Evidence: snapshotOfAnOlderVersionIsNotTaken fails on the commit before (the removed upstream is back, the new one gone).

Change: such a table counts as a failed read, is logged and counted, and another daemon or the store is asked; differences up to an older version are left out.

--- a/src/node_upstream_delta.cpp
+++ b/src/node_upstream_delta.cpp
@@ -113,9 +113,21 @@
         recordFailedPeerRead(s, feed);
         return;
     }
+    if (delta.version < feed.version && delta.isFullSnapshot) {
+        // It lacks changes that are applied here already, and no later answer would name them.
+        s.log("upstream-snapshot-old", std::to_string(delta.version),
+              "version " + std::to_string(feed.version) + " is known; asking another daemon or the store");
+        s.emit(count{"upstream_snapshots_old_total"});
+        recordFailedPeerRead(s, feed);
+        return;
+    }
     feed.failedPeerReads = 0;
-    feed.version = std::max(feed.version, delta.version);
-    applyDelta(s, delta);
+    // Differences up to an older version hold nothing new.
+    const bool isCurrent = delta.version >= feed.version;
+    if (isCurrent) {
+        feed.version = delta.version;
+        applyDelta(s, delta);
+    }
     feed.partitionIndex = feed.partitions.size();
     feed.seenKeys.clear();
     recordFeedRead(s, feed, delta.version);
--- a/tests/test_node_upstream_delta.cpp
+++ b/tests/test_node_upstream_delta.cpp
@@ -198,6 +198,12 @@
         onFeedHistoryExpired(s, table_id::upstreams);
     }
 
+    void receive(const upstream_delta &delta)
+    {
+        step s{m_state, m_context, {}};
+        onUpstreamDeltaReceived(s, {{}, delta});
+    }
+
     upstream_delta answerAfter(std::uint64_t version)
     {
         step s{m_state, m_context, {}};
@@ -205,6 +211,17 @@
         return std::get<answer_upstream_delta>(s.out.front()).delta;
     }
 
+    bool wantsFullRead() { return isFullReadPending(feedOf(m_state, table_id::upstreams)); }
+
+    std::set<std::string> ids() const
+    {
+        std::set<std::string> known;
+        for (const auto &[id, view] : m_state.upstreams) {
+            known.insert(id.value);
+        }
+        return known;
+    }
+
 private:
     void apply(const rows_received &answer)
     {
@@ -271,4 +288,21 @@
     EXPECT_EQ(delta.removed, std::vector<upstream_id>{{"i-1"}});
 }
 
+// Guards against the table of a daemon that is behind: it takes back removals that are applied already.
+TEST(node_upstream_delta, snapshotOfAnOlderVersionIsNotTaken)
+{
+    feed_of_upstreams daemon;
+    daemon.readFromStore(110, {entryOf("i-2")});
+    daemon.loseHistory();
+    daemon.receive({true, 105, true, {entryOf("i-1")}, {}});
+    EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-2"}));
+    EXPECT_TRUE(daemon.wantsFullRead());
+    daemon.receive({true, 112, true, {entryOf("i-3")}, {}});
+    EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-3"}));
+    EXPECT_FALSE(daemon.wantsFullRead());
+    // Differences up to an older version are old as well.
+    daemon.receive({true, 111, false, {entryOf("i-1")}, {{"i-3"}}});
+    EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-3"}));
+}
+
 } // namespace jacinthvale
