Daemons that read upstreams from each other notice when their tables differ

Callers saw: nothing reported. A daemon could leave an upstream out, or go on using one that drains, until its row changed again.

Two daemons that read for the others read at different moments. A row that changes and changes back between two reads of one is no change for it; an asker that was told of the change by the other one is never told that it ended.

Change: answers bear a digest of the sender's table in a header, which older builds don't read. Another digest than the asker's own, after differences, leads to a full read.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -480,6 +480,8 @@
     upstream_entry lastRow;
     /// Version of the table at which `lastRow` last differed from the row before it.
     std::uint64_t lastChangeVersion = 0;
+    /// Digest of `lastRow`.
+    std::uint64_t lastRowDigest = 0;
     /// Smoothed duration of forwarded calls relative to the mean of their routes; 0 if unknown.
     double relativeCallDuration = 0;
     /// Version of the row as read from the store; 0 if it was read from another daemon.
--- a/include/jacinthvale/node_types.h
+++ b/include/jacinthvale/node_types.h
@@ -200,6 +200,9 @@
     bool isFullSnapshot = false;
     std::vector<upstream_entry> changed;
     std::vector<upstream_id> removed;
+    /// tableDigest() of the sender; nullopt from builds that send none. Sent beside the packed fields, which
+    /// those builds read.
+    std::optional<std::uint64_t> digest;
 
     template <typename Archive>
     void serialize(Archive &archive)
--- a/src/node_feeds.cpp
+++ b/src/node_feeds.cpp
@@ -1,3 +1,4 @@
+#include "node_pack.h"
 #include "node_rows.h"
 #include "node_step.h"
 
@@ -58,14 +59,6 @@
     return std::string(kTableNames[static_cast<std::size_t>(table)]);
 }
 
-void restartFullRead(table_feed &feed)
-{
-    feed.partitionIndex = 0;
-    feed.from.clear();
-    feed.seenKeys.clear();
-    feed.fullReadVersion = 0;
-}
-
 void startRead(step &s, table_feed &feed)
 {
     feed.readOp = s.open(feed_operation{feed.table});
@@ -91,6 +84,7 @@
 {
     if (view.lastRow != entry) {
         view.lastRow = entry;
+        view.lastRowDigest = stableHash(pack(entry));
         view.lastChangeVersion = version;
     }
 }
@@ -350,6 +344,14 @@
                   [&](const upstream_id &id) { return !ids.contains(id.value); });
 }
 
+void restartFullRead(table_feed &feed)
+{
+    feed.partitionIndex = 0;
+    feed.from.clear();
+    feed.seenKeys.clear();
+    feed.fullReadVersion = 0;
+}
+
 table_feed &feedOf(node_state &state, table_id table)
 {
     return *ranges::find(state.feeds, table, &table_feed::table);
--- a/src/node_outgoing_calls.cpp
+++ b/src/node_outgoing_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "node_pack.h"
 #include "node_relay.h"
+#include "node_upstream_delta_message.h"
 
 #include <algorithm>
 
@@ -149,12 +150,7 @@
     call.connectTimeout = kUpstreamDeltaConnectTimeout;
     call.progressTimeout = kUpstreamDeltaTimeout;
     startCall(request.op, call, [op = request.op](const http_call_finished &f) {
-        upstream_delta delta;
-        // Without a valid answer the delta is marked unavailable, and the reducer asks another daemon or
-        // the store.
-        const bool valid
-                = f.outcome == transfer_outcome::complete && f.status == kOk && unpack(f.body, delta);
-        return upstream_delta_received{op, valid ? std::move(delta) : upstream_delta{}};
+        return upstream_delta_received{op, decodeUpstreamDelta(f)};
     });
 }
 
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -5,6 +5,7 @@
 #include "node_pack.h"
 #include "node_relay.h"
 #include "node_step.h"
+#include "node_upstream_delta_message.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -108,7 +109,7 @@
     void operator()(const request_upstream_delta &request) const { self.m_outgoing->start(request); }
     void operator()(const answer_upstream_delta &answer) const
     {
-        self.m_peerServer->reply({answer.exchange, kOk, {}, pack(answer.delta)});
+        self.m_peerServer->reply(upstreamDeltaReply(answer.exchange, answer.delta));
     }
     void operator()(const answer_call &answer) const
     {
--- a/src/node_step.h
+++ b/src/node_step.h
@@ -68,6 +68,8 @@
 void onFeedRows(step &s, table_id table, const rows_received &rows);
 void onFeedHistoryExpired(step &s, table_id table);
 void onFeedFailed(step &s, table_id table, const store_failed &failure);
+/// The next read of the table is a full one.
+void restartFullRead(table_feed &feed);
 table_feed &feedOf(node_state &state, table_id table);
 /// Raises the known version of a model's weights. A process never returns to older weights, so the highest
 /// reported version applies, regardless of its source.
--- a/src/node_upstream_delta.cpp
+++ b/src/node_upstream_delta.cpp
@@ -1,7 +1,9 @@
 #include "node_step.h"
 
 #include <algorithm>
+#include <range/v3/numeric/accumulate.hpp>
 #include <range/v3/view/map.hpp>
+#include <range/v3/view/transform.hpp>
 
 namespace jacinthvale::node {
 
@@ -36,6 +38,14 @@
     return readers;
 }
 
+/// Digest of the rows of all upstreams, regardless of their order.
+std::uint64_t tableDigest(const node_state &state)
+{
+    const auto digests = state.upstreams | ranges::views::values
+                         | ranges::views::transform(&upstream_view::lastRowDigest);
+    return ranges::accumulate(digests, std::uint64_t{0});
+}
+
 void applyDelta(step &s, const upstream_delta &delta)
 {
     const auto applyChange = [&](const upstream_id &id, decoded_row row, bool removed) {
@@ -88,6 +98,7 @@
     if (delta.available) {
         const auto &removed = s.state.removedUpstreams;
         delta.version = feed.version;
+        delta.digest = tableDigest(s.state);
         // Differences say that nothing else was removed since, which this daemon must know.
         delta.isFullSnapshot = request.after == 0 || request.after < s.state.removalsKnownSince;
         for (const auto &[id, view] : s.state.upstreams) {
@@ -131,6 +142,13 @@
     feed.partitionIndex = feed.partitions.size();
     feed.seenKeys.clear();
     recordFeedRead(s, feed, delta.version);
+    if (isCurrent && !delta.isFullSnapshot && delta.digest && *delta.digest != tableDigest(s.state)) {
+        s.log("upstream-table-differs", std::to_string(delta.version),
+              "differences from another daemon left another table than its own; starting a full read");
+        s.emit(count{"upstream_tables_differed_total"});
+        restartFullRead(feed);
+        feed.nextAt = s.ctx.now;
+    }
 }
 
 } // namespace jacinthvale::node
--- a/tests/test_node_upstream_delta.cpp
+++ b/tests/test_node_upstream_delta.cpp
@@ -1,7 +1,9 @@
 // Large fleets, in which eight daemons read the table of upstreams from the store and the others ask those:
 // what a daemon concludes from an answer that does not name an upstream.
+#include "node_pack.h"
 #include "node_simulation.h"
 #include "node_step.h"
+#include "node_upstream_delta_message.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -21,7 +23,7 @@
 /// A few poll intervals, and the time after which a peer that fails is left out.
 constexpr milliseconds kSettlingTime{8000};
 /// Number of generated sequences, and of events in each of them.
-constexpr std::uint64_t kSequences = 58;
+constexpr std::uint64_t kSequences = 60;
 constexpr std::size_t kEvents = 16;
 
 using table = std::map<upstream_id, upstream_entry>;
@@ -294,15 +296,52 @@
     feed_of_upstreams daemon;
     daemon.readFromStore(110, {entryOf("i-2")});
     daemon.loseHistory();
-    daemon.receive({true, 105, true, {entryOf("i-1")}, {}});
+    daemon.receive({true, 105, true, {entryOf("i-1")}, {}, std::nullopt});
     EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-2"}));
     EXPECT_TRUE(daemon.wantsFullRead());
-    daemon.receive({true, 112, true, {entryOf("i-3")}, {}});
+    daemon.receive({true, 112, true, {entryOf("i-3")}, {}, std::nullopt});
     EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-3"}));
     EXPECT_FALSE(daemon.wantsFullRead());
     // Differences up to an older version are old as well.
-    daemon.receive({true, 111, false, {entryOf("i-1")}, {{"i-3"}}});
+    daemon.receive({true, 111, false, {entryOf("i-1")}, {{"i-3"}}, std::nullopt});
     EXPECT_EQ(daemon.ids(), (std::set<std::string>{"i-3"}));
 }
 
+// Guards against a row that changed and changed back between two reads of one daemon, while another daemon
+// read it in between and told of it: the differences of the first one never put that right.
+TEST(node_upstream_delta, anotherTableThanTheSendersLeadsToAFullRead)
+{
+    feed_of_upstreams asked;
+    asked.readFromStore(100, {entryOf("i-1"), entryOf("i-2")});
+    feed_of_upstreams asking;
+    asking.receive(asked.answerAfter(0));
+    asked.readFromStore(104, {});
+    asking.receive({true, 102, false, {}, {{"i-1"}}, std::nullopt});
+    EXPECT_FALSE(asking.wantsFullRead());
+    asking.receive(asked.answerAfter(102));
+    EXPECT_TRUE(asking.wantsFullRead());
+    asking.receive(asked.answerAfter(0));
+    EXPECT_EQ(asking.ids(), (std::set<std::string>{"i-1", "i-2"}));
+    EXPECT_FALSE(asking.wantsFullRead());
+}
+
+// Guards against builds that no longer read each other's answers.
+TEST(node_upstream_delta, answersOfBuildsWithAndWithoutADigestAreRead)
+{
+    const upstream_delta delta{true, 7, false, {entryOf("i-1")}, {{"i-2"}}, 0xfedcba9876543210};
+    const reply_http reply = upstreamDeltaReply({1}, delta);
+    upstream_delta olderBuilds;
+    ASSERT_TRUE(unpack(reply.body, olderBuilds));
+    EXPECT_EQ(olderBuilds.changed, delta.changed);
+    const auto decoded = [&](const http_headers &headers, int status = 200) {
+        return decodeUpstreamDelta({{}, transfer_outcome::complete, status, headers, reply.body});
+    };
+    EXPECT_EQ(decoded(reply.headers).digest, delta.digest);
+    EXPECT_EQ(decoded(reply.headers).removed, delta.removed);
+    EXPECT_TRUE(decoded({}).available);
+    EXPECT_FALSE(decoded({}).digest);
+    EXPECT_FALSE(decoded({{reply.headers.begin()->first, "x"}}).available);
+    EXPECT_FALSE(decoded(reply.headers, 404).available);
+}
+
 } // namespace jacinthvale
