--- a/include/jacinthvale/event.h
+++ b/include/jacinthvale/event.h
@@ -68,6 +68,8 @@
     complete,
     /// The call failed before any byte of the request was sent.
     nothing_sent,
+    /// The request cannot be written as HTTP, to any target; no byte of it was sent.
+    invalid_request,
     /// The connection failed after a byte was sent and before the response was complete.
     failed_after_send,
     /// A timeout expired after a byte was sent and before the response was complete.
@@ -78,6 +80,12 @@
     displaced,
 };
 
+/// True if the target cannot have seen the request.
+constexpr bool isUnsent(transfer_outcome outcome)
+{
+    return outcome == transfer_outcome::nothing_sent || outcome == transfer_outcome::invalid_request;
+}
+
 /// Status and headers of a streamed response.
 struct http_response_head
 {
--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -45,6 +45,13 @@
 /// Told of each answer that breaks HTTP.
 using answer_fault_observer = std::function<void(const endpoint &sender, const answer_fault &fault)>;
 
+/// Told of each request that cannot be written as HTTP. @param field "method", "path" or the name of a
+/// header, with other characters than those of a name left out.
+using request_fault_observer = std::function<void(const endpoint &target, const std::string &field)>;
+
+/// @returns the counter of such requests with the field as label.
+std::string invalidRequestsMetric(const std::string &field);
+
 /// Bounds of the connection pool and of answers.
 struct http_client_limits
 {
@@ -59,7 +66,8 @@
 /// Handle of a running call.
 using http_call_handle = number_id<struct http_call_tag>;
 
-/// Makes calls. A request is never sent twice: a failed call is reported, not repeated.
+/// Makes calls. A request is never sent twice: a failed call is reported, not repeated. A request whose
+/// method, path or headers would not arrive as they are ends as invalid_request; no part of it is sent.
 class http_client
 {
 public:
@@ -67,7 +75,7 @@
     /// then calls end as displaced, by their rank.
     /// @remarks base and guard must outlive the client.
     http_client(event_base *base, connection_guard &guard, http_client_limits limits = {},
-                answer_fault_observer onFault = {});
+                answer_fault_observer onFault = {}, request_fault_observer onRequestFault = {});
     /// Client with an account of its own, for processes without listeners.
     explicit http_client(event_base *base, http_client_limits limits = {},
                          answer_fault_observer onFault = {});
--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -117,6 +117,8 @@
     /// When the last run ended before the text was complete.
     instant stoppedAt{};
     unsigned failures = 0;
+    /// Its request cannot be written as HTTP: it waits for the end of its batch.
+    bool isUnsendable = false;
     unsigned moveCount = 0;
     op_id run;
     upstream_id upstream;
--- a/include/jacinthvale/node_event.h
+++ b/include/jacinthvale/node_event.h
@@ -200,6 +200,8 @@
     not_run,
     /// No byte was sent: there is no connection to the upstream.
     unreachable,
+    /// The request cannot be written as HTTP, to any upstream; no byte was sent.
+    unsendable,
     /// Another upstream has the address, or the weights have another version; not run.
     misdirected,
     /// The upstream ran the request and failed; counts as an attempt.
--- a/src/bench_answer.cpp
+++ b/src/bench_answer.cpp
@@ -96,7 +96,7 @@
 attempt_result judgeAttempt(const caller_profile &caller, const std::string &sentBody,
                             const http_call_finished &result, const std::string &received)
 {
-    if (result.outcome == transfer_outcome::nothing_sent) {
+    if (isUnsent(result.outcome)) {
         return attempt_result::unreachable;
     }
     if (result.outcome != transfer_outcome::complete) {
--- a/src/bench_caller.cpp
+++ b/src/bench_caller.cpp
@@ -202,7 +202,7 @@
 
 void caller_load::retry(const call_pointer &call, const http_call_finished &result)
 {
-    if (result.outcome == transfer_outcome::nothing_sent) {
+    if (isUnsent(result.outcome)) {
         ++call->unreachable;
         m_loop.after(milliseconds{0}, [this, call] { send(call); });
         return;
--- a/src/ctl_change.cpp
+++ b/src/ctl_change.cpp
@@ -72,7 +72,7 @@
             if (saysWhatBecame(answer)) {
                 return answer;
             }
-            const bool lost = !answer.arrived() && answer.outcome != transfer_outcome::nothing_sent;
+            const bool lost = !answer.arrived() && !isUnsent(answer.outcome);
             mayHaveRun = mayHaveRun || lost || exitOf(answer) == ctl_exit::unknown;
             last = std::move(answer);
         }
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -96,7 +96,12 @@
     m_settings.identity.incarnation = {drawIncarnation()};
     m_client = std::make_unique<http_client>(
             m_base, m_guard, http_client_limits{},
-            [this](const endpoint &sender, const answer_fault &fault) { onFault(sender, fault); });
+            [this](const endpoint &sender, const answer_fault &fault) { onFault(sender, fault); },
+            [this](const endpoint &target, const std::string &field) {
+                m_metrics.count(invalidRequestsMetric(field), 1);
+                writeLimitedLine("request-invalid", toString(target),
+                                 absl::StrCat(field, " cannot be written as HTTP; not sent"));
+            });
     http_server_limits limits;
     limits.maxBodyBytes = static_cast<std::size_t>(m_settings.maxBodyBytes);
     limits.refusalHeaders = {{"Jacinthvale-Verdict", std::string(toString(verdict::not_run))}};
--- a/src/fleet_weights.cpp
+++ b/src/fleet_weights.cpp
@@ -182,8 +182,7 @@
 void failOrder(fleet_run &run, fleet_upstream &known, const weight_order &order,
                const http_call_finished &result)
 {
-    const bool mayBeDone = result.outcome != transfer_outcome::complete
-                           && result.outcome != transfer_outcome::nothing_sent;
+    const bool mayBeDone = result.outcome != transfer_outcome::complete && !isUnsent(result.outcome);
     if (mayBeDone) {
         known.doubts[order.model] = {order.swapCounter, known.status->incarnation};
         tellObservation(run, known);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -57,6 +57,26 @@
     }
 }
 
+/// @returns the part of the head that cannot be written; nullopt if there is none.
+std::optional<std::string> findHeadFault(const call_http &call)
+{
+    if (!isHttpToken(call.method)) {
+        return "method";
+    }
+    if (!isRequestLineWord(call.path)) {
+        return "path";
+    }
+    const auto isSound
+            = [](const auto &header) { return isHttpToken(header.first) && isFieldValue(header.second); };
+    const auto fault = std::ranges::find_if_not(call.headers, isSound);
+    if (fault == call.headers.end()) {
+        return std::nullopt;
+    }
+    std::string name;
+    std::ranges::copy_if(fault->first, std::back_inserter(name), [](char c) { return isHttpToken({&c, 1}); });
+    return name;
+}
+
 std::string requestHead(const call_http &call)
 {
     std::string head = absl::StrCat(call.method, " ", call.path, " HTTP/1.1\r\n");
@@ -64,7 +84,7 @@
         absl::StrAppend(&head, "Host: ", toString(call.target), "\r\n");
     }
     for (const auto &[name, value] : call.headers) {
-        if (!isFraming(name) && !hasLineEnd(name) && !hasLineEnd(value)) {
+        if (!isFraming(name)) {
             absl::StrAppend(&head, name, ": ", value, "\r\n");
         }
     }
@@ -81,12 +101,13 @@
 {
 public:
     implementation(event_base *base, connection_guard *guard, http_client_limits limits,
-                   answer_fault_observer onFault)
+                   answer_fault_observer onFault, request_fault_observer onRequestFault)
         : m_base(base)
         , m_ownGuard(guard == nullptr ? std::make_unique<connection_guard>(base, kOwnBudget) : nullptr)
         , m_guard(guard == nullptr ? *m_ownGuard : *guard)
         , m_limits(limits)
         , m_onFault(std::move(onFault))
+        , m_onRequestFault(std::move(onRequestFault))
         , m_handOverTimer(base, [this] { m_guard.release(std::exchange(m_handedOver, 0)); })
     {
         m_guard.add(*this);
@@ -109,6 +130,15 @@
         const http_call_handle handle{++m_lastHandle};
         auto started = std::make_unique<running_call>(*this, handle, call, std::move(listener));
         running_call &running = *m_calls.emplace(handle, std::move(started)).first->second;
+        if (const auto fault = findHeadFault(call)) {
+            running.isInvalid = true;
+            if (m_onRequestFault) {
+                m_onRequestFault(call.target, *fault);
+            }
+            // Reported from the loop like every other end.
+            running.timer.start(milliseconds{0});
+            return handle;
+        }
         running.timer.start(call.connectTimeout);
         if (!call.freshConnection) {
             running.connection = takeIdle(call.target);
@@ -222,6 +252,8 @@
         std::size_t held = 0;
         /// A byte of the request may have left this process.
         bool sent = false;
+        /// The request cannot be written; it has no connection.
+        bool isInvalid = false;
     };
 
     struct idle_connection
@@ -563,7 +595,7 @@
             if (canBeReused(last)) {
                 giveBack(last.call.target, std::move(last.connection));
             }
-        } else {
+        } else if (!last.isInvalid) {
             result.outcome = last.sent ? outcome : transfer_outcome::nothing_sent;
             if (outcome != transfer_outcome::displaced) {
                 dropIdle(last.call.target);
@@ -600,7 +632,9 @@
             return;
         }
         const running_call &running = *found->second;
-        if (neverFits(running)) {
+        if (running.isInvalid) {
+            finish(running, transfer_outcome::invalid_request);
+        } else if (neverFits(running)) {
             displace(running, "response_too_large");
         } else {
             finish(running, transfer_outcome::timed_out);
@@ -612,6 +646,7 @@
     connection_guard &m_guard;
     http_client_limits m_limits;
     answer_fault_observer m_onFault;
+    request_fault_observer m_onRequestFault;
     /// Bytes of bodies whose calls ended in this turn of the event loop.
     std::size_t m_handedOver = 0;
     event_timer m_handOverTimer;
@@ -622,18 +657,25 @@
     std::map<endpoint, std::deque<std::unique_ptr<idle_connection>>> m_idle;
 };
 
+std::string invalidRequestsMetric(const std::string &field)
+{
+    return absl::StrCat("requests_invalid_total{field=\"", field, "\"}");
+}
+
 std::string malformedAnswersMetric(const answer_fault &fault)
 {
     return absl::StrCat("answers_malformed_total{rule=\"", std::string(fault.rule), "\"}");
 }
 
 http_client::http_client(event_base *base, connection_guard &guard, http_client_limits limits,
-                         answer_fault_observer onFault)
-    : m_impl(std::make_unique<implementation>(base, &guard, limits, std::move(onFault)))
+                         answer_fault_observer onFault, request_fault_observer onRequestFault)
+    : m_impl(std::make_unique<implementation>(base, &guard, limits, std::move(onFault),
+                                              std::move(onRequestFault)))
 {}
 
 http_client::http_client(event_base *base, http_client_limits limits, answer_fault_observer onFault)
-    : m_impl(std::make_unique<implementation>(base, nullptr, limits, std::move(onFault)))
+    : m_impl(std::make_unique<implementation>(base, nullptr, limits, std::move(onFault),
+                                              request_fault_observer{}))
 {}
 
 http_client::~http_client() = default;
--- a/src/node_calls.cpp
+++ b/src/node_calls.cpp
@@ -349,6 +349,8 @@
             return "notRun";
         case call_end::unreachable:
             return "unreachable";
+        case call_end::unsendable:
+            return "unsendable";
         case call_end::misdirected:
             return "misdirected";
         case call_end::failed:
@@ -367,7 +369,8 @@
         return "timedOut";
     };
     s.emit(count{std::string("upstream_requests_total{end=\"") + word() + "\"}"});
-    if (end != call_end::unreachable && end != call_end::incomplete && end != call_end::timed_out) {
+    if (end != call_end::unreachable && end != call_end::unsendable && end != call_end::incomplete
+        && end != call_end::timed_out) {
         recordHeard(s);
     }
 }
@@ -422,7 +425,7 @@
 bool isNotRun(const relayed_call_ended &ended)
 {
     if (!ended.answer) {
-        return ended.end == call_end::unreachable;
+        return ended.end == call_end::unreachable || ended.end == call_end::unsendable;
     }
     const refusal reason = ended.answer->reason;
     return !ended.answer->answered
@@ -544,6 +547,13 @@
         --call.sent;
         takeBackUsage(s, call);
         break;
+    case call_end::unsendable:
+        // A hedged attempt may run: it went to another upstream, whose fields can be written.
+        call.mayHaveRun |= !call.running.empty();
+        takeBackUsage(s, call);
+        refuseCall(s, operation.origin, call.mayHaveRun ? refusal::may_have_run : refusal::malformed,
+                   "request to " + operation.upstream.value + " cannot be written as HTTP");
+        return;
     case call_end::misdirected:
         ejectUpstream(s, operation.upstream, kMisdirectedCallEjection,
                       "another server responds at its address");
--- a/src/node_limits.cpp
+++ b/src/node_limits.cpp
@@ -200,7 +200,7 @@
         return;
     }
     for (const owned_item &item : batch.items) {
-        if (item.phase == item_phase::waiting) {
+        if (item.phase == item_phase::waiting && !item.isUnsendable) {
             recordDemand(s, pickService(*matchedRoute, stableHash(item.item.id.value)), 1);
         }
     }
--- a/src/node_port.h
+++ b/src/node_port.h
@@ -30,6 +30,8 @@
     switch (outcome) {
     case transfer_outcome::nothing_sent:
         return call_end::unreachable;
+    case transfer_outcome::invalid_request:
+        return call_end::unsendable;
     case transfer_outcome::failed_after_send:
         return call_end::incomplete;
     case transfer_outcome::timed_out:
--- a/src/node_runs.cpp
+++ b/src/node_runs.cpp
@@ -408,7 +408,7 @@
         outlook.remainingMs = remainingMsOf(state, batch, *matchedRoute, snapshots);
         for (std::size_t i = 0; i < batch.items.size(); ++i) {
             const owned_item &item = batch.items[i];
-            if (item.phase == item_phase::waiting) {
+            if (item.phase == item_phase::waiting && !item.isUnsendable) {
                 const service_id service = pickService(*matchedRoute, stableHash(item.item.id.value));
                 const double median = snapshots.get(service).medianInterChunkLatencyMs;
                 const double latestStart = latestStartMs(state, batch, item, *matchedRoute, service, median);
@@ -819,6 +819,11 @@
         ejectUpstream(s, operation.upstream, kRefusedRunEjection,
                       end == call_end::not_run ? "run refused" : "no connection");
         break;
+    case call_end::unsendable:
+        item.isUnsendable = true;
+        s.log("item-unsendable", id,
+              "request to " + operation.upstream.value + " cannot be written as HTTP; not run again");
+        break;
     case call_end::misdirected:
         ejectUpstream(s, operation.upstream, kMisdirectedRunEjection,
                       "another server responds at its address");
--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -159,7 +159,12 @@
               })
     , m_client(std::make_unique<http_client>(
               m_base, m_guard, clientLimits(),
-              [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); }))
+              [this](const endpoint &sender, const answer_fault &fault) { reportFault(sender, fault); },
+              [this](const endpoint &target, const std::string &field) {
+                  writeLog({"request-invalid", toString(target),
+                            field + " cannot be written as HTTP; not sent"});
+                  m_metrics.count(invalidRequestsMetric(field), 1);
+              }))
     , m_outgoing(std::make_unique<outgoing_calls>(
               *m_client, *m_port,
               outgoing_call_listener{
--- a/src/node_store_link.cpp
+++ b/src/node_store_link.cpp
@@ -36,6 +36,7 @@
 {
     switch (finished.outcome) {
     case transfer_outcome::nothing_sent:
+    case transfer_outcome::invalid_request:
         return attempt_outcome::not_executed;
     case transfer_outcome::failed_after_send:
     case transfer_outcome::timed_out:
@@ -166,8 +167,8 @@
                                    static_cast<std::uint32_t>(timeout.count())});
     m_client->start(call, {{}, {}, [this, op, peer](http_call_finished finished) {
                                if (finished.outcome != transfer_outcome::complete || finished.status != kOk) {
-                                   const bool notExecuted = finished.outcome == transfer_outcome::nothing_sent
-                                                            || finished.status == kUnavailable;
+                                   const bool notExecuted
+                                           = isUnsent(finished.outcome) || finished.status == kUnavailable;
                                    onAttemptEnded(op, peer,
                                                   notExecuted ? attempt_outcome::not_executed
                                                               : attempt_outcome::indeterminate,
--- a/src/node_streams.cpp
+++ b/src/node_streams.cpp
@@ -458,6 +458,10 @@
                       ended.end == call_end::not_run ? "stream refused" : "no connection");
         --stream->sent;
         break;
+    case call_end::unsendable:
+        failStream(s, exchange, stream->mayHaveRun ? refusal::may_have_run : refusal::malformed,
+                   "request to " + operation.upstream.value + " cannot be written as HTTP");
+        return;
     case call_end::misdirected:
         ejectUpstream(s, operation.upstream, kMisdirectedCallEjection,
                       "another server responds at its address");
--- a/src/requests_attempt.cpp
+++ b/src/requests_attempt.cpp
@@ -51,7 +51,7 @@
 
 verdict verdictOf(const call_record &call, const http_call_finished &result, bool refused)
 {
-    if (result.outcome == transfer_outcome::nothing_sent || refused) {
+    if (isUnsent(result.outcome) || refused) {
         return verdict::not_run;
     }
     if (result.outcome != transfer_outcome::complete || result.status >= kInternalError
@@ -94,7 +94,8 @@
         upstream.limiter.recordOverload();
         step.count("requests_silent_connections_total");
         startProbe(step, upstream);
-    } else if (result.transfer != transfer_outcome::displaced) {
+    } else if (result.transfer != transfer_outcome::displaced
+               && result.transfer != transfer_outcome::invalid_request) {
         upstream.breaker.recordFailure(step.ctx.now, threshold);
     }
 }
--- a/src/store_session.cpp
+++ b/src/store_session.cpp
@@ -85,7 +85,7 @@
         return {store_call_finished{operation, std::move(*outcome)}};
     }
     const bool effectPossible
-            = result.outcome != transfer_outcome::nothing_sent
+            = !isUnsent(result.outcome)
               && !(result.outcome == transfer_outcome::complete && refusedBeforeEffect(result.status));
     running.lostAnswer = running.lostAnswer || effectPossible;
     scheduleRetry(running, ctx);
--- a/tests/standins/node_simulation.h
+++ b/tests/standins/node_simulation.h
@@ -259,6 +259,10 @@
 
     /// Adds a reward call to each item of a batch.
     static node::batch withRewards(node::batch submitted, const std::string &path = "/plain/reward");
+    /// The daemons cannot write this request as HTTP.
+    void setUnsendable(const std::string &id) { m_unsendable.insert(id); }
+    /// Number of attempts to send such requests.
+    std::size_t unsendableRequests() const { return m_unsendableRequests; }
     /// The upstreams answer this request with status 500 whenever they run it.
     void failAlways(const request_id &id) { m_failingCalls.insert(id.value); }
     /// Returns a batch whose items produce the given numbers of chunks.
@@ -351,6 +355,8 @@
     bool returnRelayed(exchange_id exchange, const node::relayed_answer &answer);
     /// Handles a request to an upstream that the daemon cannot reach. @returns false if it can reach it.
     bool failsToConnect(std::size_t daemon, const node::event &unreachable);
+    /// Handles a request that cannot be written as HTTP. @returns false if it can.
+    bool failsToWrite(std::size_t daemon, const std::string &id, const node::event &unsendable);
     void forwardStream(std::size_t daemon, const node::forward_stream &request);
     void produceEvent(std::size_t daemon, node::op_id op, std::uint64_t generation);
     void receiveEvents(const node::send_stream &sent);
@@ -492,6 +498,8 @@
     std::map<exchange_id, node::batch_id> m_endRequests;
     std::map<node::batch_id, instant> m_batchEndedAt;
     std::set<std::string> m_failingCalls;
+    std::set<std::string> m_unsendable;
+    std::size_t m_unsendableRequests = 0;
     struct crashing_call
     {
         std::size_t crashes = 0;
--- a/tests/standins/node_simulation_upstreams.cpp
+++ b/tests/standins/node_simulation_upstreams.cpp
@@ -111,6 +111,16 @@
     return true;
 }
 
+bool node_simulation::failsToWrite(std::size_t daemon, const std::string &id, const node::event &unsendable)
+{
+    if (!m_unsendable.contains(id)) {
+        return false;
+    }
+    ++m_unsendableRequests;
+    deliverAfter(daemon, milliseconds{0}, unsendable);
+    return true;
+}
+
 simulated_upstream *node_simulation::findUpstream(const upstream_id &id)
 {
     const auto found = std::ranges::find_if(m_upstreams,
@@ -198,7 +208,8 @@
 
 void node_simulation::startRun(std::size_t daemon, const run_item &request)
 {
-    if (failsToConnect(daemon, run_ended{request.op, call_end::unreachable})) {
+    if (failsToWrite(daemon, request.item.id.value, run_ended{request.op, call_end::unsendable})
+        || failsToConnect(daemon, run_ended{request.op, call_end::unreachable})) {
         return;
     }
     m_accountsSeen[request.item.id.value] = request.account;
@@ -271,7 +282,8 @@
 
 void node_simulation::forwardCall(std::size_t daemon, const forward_call &request)
 {
-    if (failsToConnect(daemon, call_ended{request.op, call_end::unreachable, 0, {}, {}})) {
+    if (failsToWrite(daemon, request.call.id.value, call_ended{request.op, call_end::unsendable, 0, {}, {}})
+        || failsToConnect(daemon, call_ended{request.op, call_end::unreachable, 0, {}, {}})) {
         return;
     }
     ++m_runsPerUpstream[request.upstream];
@@ -356,7 +368,8 @@
 
 void node_simulation::forwardStream(std::size_t daemon, const forward_stream &request)
 {
-    if (failsToConnect(daemon, call_ended{request.op, call_end::unreachable, 0, {}, {}})) {
+    if (failsToWrite(daemon, request.call.id.value, call_ended{request.op, call_end::unsendable, 0, {}, {}})
+        || failsToConnect(daemon, call_ended{request.op, call_end::unreachable, 0, {}, {}})) {
         return;
     }
     const simulated_upstream *target = findUpstream(request.upstream);
--- a/tests/test_platform_odd_entries.cpp
+++ b/tests/test_platform_odd_entries.cpp
@@ -273,7 +273,7 @@
     for (const std::string &value : oddValues()) {
         platform::decodeStatusAnswer({1}, {{}, transfer_outcome::complete, 200, {}, value});
         platform::decodeForeignRow({{table_id::operators, "", "config"}, 1, value, false});
-        EXPECT_FALSE(platform::decodeBatch(value).has_value());
+        EXPECT_FALSE(platform::decodeBatch(value).ok());
     }
     for (const std::string &value : oddValues(kShortBytes)) {
         const auto bodiesOf = [&](const json &whole) {
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -132,11 +132,11 @@
     const auto batch = platform::decodeBatch(
             R"({"train_step":7,"model":"m","min_version":6,"group_count":12,"requests":[{"id":"e5","path":"/p/1",
             "headers":{"Jacinthvale-Length-Hint":"99","X":"y"},"body":"q83vEjRWeJA=","tokens":940,"group":"g1"}]})");
-    ASSERT_TRUE(batch.has_value());
+    ASSERT_TRUE(batch.ok());
     EXPECT_EQ(batch->minVersion.value, 6U);
     EXPECT_EQ(batch->items.front().expectedOutput, 99U);
     EXPECT_EQ(batch->items.front().body.size(), 8U);
-    EXPECT_FALSE(platform::decodeBatch(R"({"requests":[{"id":"e5"}]})").has_value());
+    EXPECT_FALSE(platform::decodeBatch(R"({"requests":[{"id":"e5"}]})").ok());
     const auto page = nlohmann::json::parse(
             platform::encodePage({{1}, 40, 12, {{{"e5"}, item_state::succeeded, "a\nb", {6, 7}}}}));
     EXPECT_EQ(page["next"], 13);
@@ -376,7 +376,7 @@
 TEST(platform_wire, decodesRewardCallAndPromptTokens)
 {
     const auto decoded = platform::decodeBatch(batchBody(itemWithReward("i1", kReward)));
-    ASSERT_TRUE(decoded.has_value());
+    ASSERT_TRUE(decoded.ok());
     const batch_item &item = decoded->items.at(0);
     EXPECT_EQ(item.promptTokens, 540U);
     EXPECT_EQ(item.reward, (reward_call{{"r1"}, "pay.example", "/s/1", "\xab\xcd\xef"}));
@@ -408,11 +408,11 @@
          {R"({"id":"r1","host":"h","path":"/s/1","body":"no base64!"})",
           R"({"id":"","host":"h","path":"/s/1","body":"eA=="})", R"({"id":"r1","host":"h","body":"eA=="})",
           R"({"id":"r1","path":"/s/1","body":"eA=="})", R"("r1")", "[]", "7"}) {
-        EXPECT_FALSE(platform::decodeBatch(batchBody(itemWithReward("i1", malformed)))) << malformed;
+        EXPECT_FALSE(platform::decodeBatch(batchBody(itemWithReward("i1", malformed))).ok()) << malformed;
     }
     const std::string first = itemWithReward("i1", kReward);
-    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i2", kReward))));
-    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i1", "null"))));
+    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i2", kReward))).ok());
+    EXPECT_FALSE(platform::decodeBatch(batchBody(first + "," + itemWithReward("i1", "null"))).ok());
 }
 
 TEST(platform_wire, rewardCallIsForwardedWithItsIdAndDeadline)
