A daemon that is started again knows which upstreams told its former process that they leave

Callers saw: nothing reported. A daemon could send work to a leaving upstream after its own restart, and so could daemons that start later.

A daemon left out its own row of announcements and replaced it with the next one.

Change: the own row is applied like the others and told on.

--- a/src/node_leaving.cpp
+++ b/src/node_leaving.cpp
@@ -71,7 +71,7 @@
 
 void onLeavingRow(step &s, const row &received)
 {
-    if (received.removed || received.key.key == leavingKey(s.state.self.host)) {
+    if (received.removed) {
         return;
     }
     const auto advertised = decodeLeaving(received);
@@ -79,8 +79,13 @@
         s.log("leaving-row-unreadable", received.key.key, "its announcements are not applied");
         return;
     }
+    // What the former process of this host was told is news, and goes on being told.
+    const bool isOwn = received.key.key == leavingKey(s.state.self.host);
     for (const auto &[id, startedAtMs] : *advertised) {
-        recordLeaving(s, id, startedAtMs, "reported in row " + received.key.key);
+        const bool isNew = recordLeaving(s, id, startedAtMs, "reported in row " + received.key.key);
+        if (isNew && isOwn) {
+            s.state.leavingAdvertisement.upstreams[id] = startedAtMs;
+        }
     }
 }
 
--- a/tests/test_node_leaving.cpp
+++ b/tests/test_node_leaving.cpp
@@ -242,6 +242,34 @@
     EXPECT_TRUE(state.leavingUpstreams.empty());
 }
 
+// Guards against requests to a leaving upstream after the daemon that was told is started again: its row
+// would name only what the new process is told.
+TEST(node_leaving, announcementsOutliveTheProcessThatWasTold)
+{
+    node_simulation simulation(11);
+    simulation.run(kStartupTime);
+    const auto announce = [&](std::size_t upstream) {
+        simulation.upstream(upstream).announcesLeave = true;
+        callUntilAnnounced(simulation, 0, upstream);
+        simulation.run(kDrainBound);
+        return simulation.upstream(upstream).entry.id;
+    };
+    const auto startAgain = [&](std::size_t daemon) {
+        simulation.kill(daemon);
+        simulation.run(milliseconds{300});
+        simulation.start(daemon);
+        simulation.run(kDrainBound);
+    };
+    const upstream_id first = announce(kPlainUpstream);
+    startAgain(0);
+    EXPECT_TRUE(knowsLeaving(simulation, 0, first));
+    // The new process writes its row, too, and a daemon that starts later reads only that.
+    const upstream_id second = announce(kPlainUpstream + 1);
+    startAgain(1);
+    EXPECT_TRUE(knowsLeaving(simulation, 1, first));
+    EXPECT_TRUE(knowsLeaving(simulation, 1, second));
+}
+
 RC_GTEST_PROP(node_leaving, damagedRowOfAnotherDaemonIsIgnored, (const std::string &bytes))
 {
     node_state state = makeNodeState({});
