An answer without the id of its request is not believed

Cause: the client refused answers with another id, but took those without any, with what they say ("not run", 421).

Ruled out: bytes that come while the connection is idle; they are found before it is used again (tests of before).

The test sends such a refusal before the true answer.

Change: where a request bears an id, any answer that doesn't repeat it ends the call as broken off after it was sent.

--- a/include/jacinthvale/effect.h
+++ b/include/jacinthvale/effect.h
@@ -49,8 +49,8 @@
     bool streamed = false;
     /// True if the call must not reuse a connection: for requests that may not be repeated, and for probes.
     bool freshConnection = false;
-    /// Name and value of a header that the response must repeat. A response with another value belongs to
-    /// another request: the call ends as failed_after_send. Not checked if empty.
+    /// Name and value of a header that the response must repeat; an empty value: that it must not have. Any
+    /// other response belongs to another request: the call ends as failed_after_send. Not checked if empty.
     std::pair<std::string, std::string> echo;
     answer_rank rank = answer_rank::essential;
 };
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -527,8 +527,9 @@
         const http_headers &headers = running.parser.headers();
         const auto &[name, value] = running.call.echo;
         if (!name.empty()) {
+            // An answer that bears no id may be a late one to an earlier request, such as a refusal.
             const auto echoed = headers.find(name);
-            if (echoed != headers.end() && echoed->second != value) {
+            if ((echoed == headers.end() ? std::string() : echoed->second) != value) {
                 return false;
             }
         }
--- a/tests/test_runtime_http.cpp
+++ b/tests/test_runtime_http.cpp
@@ -348,6 +348,28 @@
     }
 }
 
+// Guards against a request that runs twice: a late refusal without an id, which belongs to no request, is
+// believed.
+TEST(http_client, answerWithoutTheIdAnswersNoCallThatHasOne)
+{
+    const test_loop loop;
+    raw_server server(loop.base(), [&](bufferevent *connection, const std::string &) {
+        const std::string bytes
+                = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" + answerWithId("one");
+        bufferevent_write(connection, bytes.data(), bytes.size());
+    });
+    http_client client(loop.base());
+    for (const bool bearsId : {true, false}) {
+        call_http request = makeCall(server.where());
+        request.echo = {"X-Id", bearsId ? "one" : ""};
+        watched_call call;
+        client.start(request, call.listener());
+        ASSERT_TRUE(loop.runUntil([&] { return call.finished.has_value(); }));
+        EXPECT_EQ(call.finished->outcome,
+                  bearsId ? transfer_outcome::failed_after_send : transfer_outcome::complete);
+    }
+}
+
 // Bytes that are already in the socket when an idle connection is taken belong to no call, with an id or
 // without.
 TEST(http_client, idleConnectionWithUnreadBytesIsNotUsedAgain)
