A batch job whose id cannot be a key is refused and no longer ends the process

Cause: the id becomes a key in a call of the store; the JSON writer throws on such bytes, and nothing caught it.

Change: 400 at the entry. An operation that the store's protocol can't carry is reported to the reducer as rejected for good, with the reason; nothing that passes the entry reaches that now, so this half has no test.

--- a/src/node_runtime.cpp
+++ b/src/node_runtime.cpp
@@ -460,7 +460,15 @@
     if (auto *commit = std::get_if<commit_rows>(&decodingInput)) {
         commit->puts.clear();
     }
-    m_store->start(m_port->encodeStore(operation), deadline,
+    store_request request;
+    try {
+        request = m_port->encodeStore(operation);
+    } catch (const std::exception &error) {
+        // A text that the store's protocol cannot carry, such as a key that is no UTF-8.
+        post(store_failed{op, false, absl::StrCat("the operation cannot be written: ", error.what()), true});
+        return;
+    }
+    m_store->start(request, deadline,
                    [this, op, decodingInput = std::move(decodingInput)](const store_answer &answer) {
                        if (answer.status == 0) {
                            post(store_failed{op, answer.outcomeUnknown,
--- a/tests/test_unsendable_requests.cpp
+++ b/tests/test_unsendable_requests.cpp
@@ -263,3 +263,26 @@
     EXPECT_NE(simulation.answerAs<answer_call>(beside), nullptr);
     EXPECT_EQ(simulation.unsendableRequests(), 2U);
 }
+
+// Guards against one batch job that ends the process: its id becomes the key of a row, and the store's calls
+// are JSON.
+TEST(unsendable_requests, batchWhoseIdCannotBeAKeyIsRefused)
+{
+    const auto port = platform::makePlatformPort();
+    const auto statusFor = [&](const std::string &id) {
+        http_request_received request;
+        request.method = "POST";
+        request.path = request.target = "/p/b1";
+        request.headers = {{"Host", "h.example"}, {platform::kRequestIdHeader, id}};
+        request.body = json{{"model", "m"}, {"requests", {itemOf("i1")}}}.dump();
+        const auto decoded = port->decodeRequest(request, routesWithBatches(), 1 << 20);
+        const auto *reply = std::get_if<reply_http>(&decoded);
+        return reply == nullptr ? 0 : reply->status;
+    };
+    for (const std::string id : {"", "caf\xe9", "\xc3", "\xff\xfe", "\xed\xa0\x80", "a\xc0\xafz"}) {
+        EXPECT_EQ(statusFor(id), 400) << id;
+    }
+    for (const std::string id : {"cafe", "caf\xc3\xa9", "a b", "\"\\"}) {
+        EXPECT_EQ(statusFor(id), 0) << id;
+    }
+}
