A result is read even where rows of a longer one follow it

Cause: rows of a long result that was never committed stay; a shorter result at the same position replaces the first ones, and the reader took the others for part of it.

Change: bytes after the packed result are ignored, as for other values over several rows.

--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -447,11 +447,12 @@
 
 std::optional<item_result> decodeResult(const std::string &bytes)
 {
+    // Rows of a longer result, whose owner ended before it was complete, may follow.
     item_result result;
-    if (unpack(bytes, result)) {
+    if (unpack<trailing_bytes::ignore>(bytes, result)) {
         return result;
     }
-    return unpackAs<trailing_bytes::reject>(kScoredFormat, bytes, result, result.score)
+    return unpackAs<trailing_bytes::ignore>(kScoredFormat, bytes, result, result.score)
                    ? std::optional(std::move(result))
                    : std::nullopt;
 }
--- a/tests/test_node_large_batches.cpp
+++ b/tests/test_node_large_batches.cpp
@@ -287,6 +287,47 @@
     }
 }
 
+// Guards against results that no daemon can read any more: the owner ends while it stores a long one, and the
+// next owner lists a shorter one at its position, before the rows that are left.
+TEST(node_large_batches, shorterResultAfterTheRowsOfALongOneIsRead)
+{
+    node_simulation simulation(274);
+    simulation.run(kStartupTime);
+    simulation.setChunkBytes(400'000);
+    const batch submitted = node_simulation::makeBatch("b1", "m0", 1, {6, 1, 6});
+    ASSERT_TRUE(isAccepted(simulation, simulation.submitBatch(0, submitted)));
+    // The short item waits until the long one is stored in part.
+    std::string upstream;
+    ASSERT_TRUE(simulation.runUntil(
+            [&] {
+                const auto &owned = simulation.ownerState(submitted.id).owned;
+                const auto found = owned.find(submitted.id);
+                upstream = found == owned.end() ? "" : found->second.items.at(1).upstream.value;
+                return !upstream.empty();
+            },
+            kLongTimeout));
+    ASSERT_TRUE(simulation.stallNewestRun(std::stoul(upstream.substr(1)), milliseconds{1500}));
+    ASSERT_TRUE(simulation.runUntil(
+            [&] { return simulation.rowCount(table_id::results, submitted.id.value + "/") >= 10; },
+            kLongTimeout));
+    ASSERT_TRUE(simulation.committedResults(submitted.id).empty());
+    const std::size_t owner = simulation.ownerIndex(submitted.id);
+    simulation.kill(owner);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.allCommitted(submitted); }, kLongTimeout));
+    const std::vector<item_result> listed = simulation.committedResults(submitted.id);
+    ASSERT_EQ(listed.front().id, submitted.items.at(1).id);
+    simulation.start(owner);
+    simulation.run(kStartupTime);
+    for (std::size_t daemon = 0; daemon < simulation.daemonCount(); ++daemon) {
+        EXPECT_EQ(readPages(simulation, daemon, submitted), listed) << daemon;
+    }
+    // The next owner reads what was listed, too.
+    simulation.kill(simulation.ownerIndex(submitted.id));
+    simulation.run(kStartupTime + milliseconds{3000});
+    EXPECT_EQ(readPages(simulation, owner, submitted), listed);
+    EXPECT_EQ(simulation.violationText(), "");
+}
+
 TEST(node_large_batches, pageOfEscapedTextsStaysWithinItsLimit)
 {
     node_simulation simulation(280);
