--- a/include/jacinthvale/http_client.h
+++ b/include/jacinthvale/http_client.h
@@ -49,7 +49,7 @@
 /// header, with other characters than those of a name left out.
 using request_fault_observer = std::function<void(const endpoint &target, const std::string &field)>;
 
-/// @returns the counter of such requests with the field as label.
+/// @returns the counter of such requests, with the label "method", "path" or "header".
 std::string invalidRequestsMetric(const std::string &field);
 
 /// Bounds of the connection pool and of answers.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -29,6 +29,8 @@
 /// Account of a client in a process without listeners.
 constexpr connection_budget kOwnBudget{256UL * 1024 * 1024, 0};
 const std::string kGroupName = "responses";
+const std::string kMethodField = "method";
+const std::string kPathField = "path";
 
 struct connection_deleter
 {
@@ -61,10 +63,10 @@
 std::optional<std::string> findHeadFault(const call_http &call)
 {
     if (!isHttpToken(call.method)) {
-        return "method";
+        return kMethodField;
     }
     if (!isRequestLineWord(call.path)) {
-        return "path";
+        return kPathField;
     }
     const auto isSound
             = [](const auto &header) { return isHttpToken(header.first) && isFieldValue(header.second); };
@@ -660,7 +662,9 @@
 
 std::string invalidRequestsMetric(const std::string &field)
 {
-    return absl::StrCat("requests_invalid_total{field=\"", field, "\"}");
+    // The names of headers come from others; as labels they would have no bound.
+    const bool isHeader = field != kMethodField && field != kPathField;
+    return absl::StrCat("requests_invalid_total{field=\"", isHeader ? "header" : field, "\"}");
 }
 
 std::string malformedAnswersMetric(const answer_fault &fault)
--- a/tests/test_unsendable_requests.cpp
+++ b/tests/test_unsendable_requests.cpp
@@ -226,6 +226,8 @@
         EXPECT_EQ(told.back(), field);
     }
     EXPECT_EQ(told.size(), std::size(unsendable));
+    EXPECT_EQ(invalidRequestsMetric("path"), "requests_invalid_total{field=\"path\"}");
+    EXPECT_EQ(invalidRequestsMetric("X-One"), "requests_invalid_total{field=\"header\"}");
     EXPECT_EQ(client.runningCalls(), 0U);
 }
 
