--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -312,7 +312,7 @@
     {
         /// Number of the next fragment; 0 until the first one has arrived.
         std::size_t next = 0;
-        /// Number of fragments after the first one, where that one holds no more than this number.
+        /// Number of fragments after the first one, where that one names it or the result is whole.
         std::optional<std::size_t> longFragments = {};
         std::string bytes = {};
     };
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -447,12 +447,11 @@
 
 std::optional<item_result> decodeResult(const std::string &bytes)
 {
-    // Rows of a longer result, whose owner ended before it was complete, may follow.
     item_result result;
-    if (unpack<trailing_bytes::ignore>(bytes, result)) {
+    if (unpack(bytes, result)) {
         return result;
     }
-    return unpackAs<trailing_bytes::ignore>(kScoredFormat, bytes, result, result.score)
+    return unpackAs<trailing_bytes::reject>(kScoredFormat, bytes, result, result.score)
                    ? std::optional(std::move(result))
                    : std::nullopt;
 }
@@ -592,15 +591,20 @@
         partial.longFragments = decodeLongResult(fragment.value);
         partial.bytes = partial.longFragments ? std::string() : fragment.value;
         partial.next = 1;
-        return;
-    }
-    // Fragments without the first one belong to a result that is not committed.
-    const bool expected = partial.next == place->number
-                          && (!partial.longFragments || place->number <= *partial.longFragments);
-    if (expected) {
+    } else {
+        // Fragments without the first one belong to a result that is not committed.
+        const bool expected = partial.next == place->number
+                              && (!partial.longFragments || place->number <= *partial.longFragments);
+        if (!expected) {
+            return;
+        }
         partial.bytes += fragment.value;
         ++partial.next;
     }
+    // What follows a whole result was left by a longer one that was never committed.
+    if (!partial.longFragments && decodeResult(partial.bytes)) {
+        partial.longFragments = place->number;
+    }
 }
 
 std::vector<item_result> result_assembler::takeComplete()
