A result is decoded once, by the row that completes it

Cause: the assembler decoded a result to see whether it is whole and decoded it again when it was taken; the number of rows of a long result served as a mark for "whole", too.

Change: the partial result holds the decoded one. Which rows count and which results are listed stay as they were.

--- a/include/jacinthvale/node.h
+++ b/include/jacinthvale/node.h
@@ -312,9 +312,11 @@
     {
         /// Number of the next fragment; 0 until the first one has arrived.
         std::size_t next = 0;
-        /// Number of fragments after the first one, where that one names it or the result is whole.
+        /// Number of fragments after the first one, where that one holds no more than this number.
         std::optional<std::size_t> longFragments = {};
         std::string bytes = {};
+        /// Set by the last fragment; later ones were left by a longer result that was never committed.
+        std::optional<item_result> result = {};
     };
     std::map<std::size_t, partial_result> m_partials;
 };
--- a/src/node_rows.cpp
+++ b/src/node_rows.cpp
@@ -588,38 +588,28 @@
     }
     partial_result &partial = m_partials[place->position];
     if (place->number == 0) {
-        partial.longFragments = decodeLongResult(fragment.value);
-        partial.bytes = partial.longFragments ? std::string() : fragment.value;
-        partial.next = 1;
-    } else {
-        // Fragments without the first one belong to a result that is not committed.
-        const bool expected = partial.next == place->number
-                              && (!partial.longFragments || place->number <= *partial.longFragments);
-        if (!expected) {
-            return;
+        partial = {1, decodeLongResult(fragment.value)};
+        if (!partial.longFragments) {
+            partial.bytes = fragment.value;
         }
+    } else if (place->number == partial.next && !partial.result) {
         partial.bytes += fragment.value;
         ++partial.next;
+    } else {
+        // Fragments without the first one belong to a result that is not committed.
+        return;
     }
-    // What follows a whole result was left by a longer one that was never committed.
-    if (!partial.longFragments && decodeResult(partial.bytes)) {
-        partial.longFragments = place->number;
+    if (!partial.longFragments || partial.next == *partial.longFragments + 1) {
+        partial.result = decodeResult(partial.bytes);
     }
 }
 
 std::vector<item_result> result_assembler::takeComplete()
 {
     std::vector<item_result> results;
-    while (!m_partials.empty()) {
-        const partial_result &partial = m_partials.begin()->second;
-        const bool missing
-                = partial.next == 0 || (partial.longFragments && partial.next != *partial.longFragments + 1);
-        auto result = missing ? std::nullopt : decodeResult(partial.bytes);
-        if (!result) {
-            // Fragments of this result are missing or damaged; the results before it are complete.
-            break;
-        }
-        results.push_back(*std::move(result));
+    // The first one without a result misses fragments or is damaged; the results before it are complete.
+    while (!m_partials.empty() && m_partials.begin()->second.result) {
+        results.push_back(*std::move(m_partials.begin()->second.result));
         m_partials.erase(m_partials.begin());
     }
     return results;
