--- a/src/foreign_fields.cpp
+++ b/src/foreign_fields.cpp
@@ -13,4 +13,10 @@
     return fault == fields.end() ? nullptr : fault->name;
 }
 
+const char *findFault(std::span<const field_check> checks)
+{
+    const auto failed = std::ranges::find(checks, false, &field_check::second);
+    return failed == checks.end() ? nullptr : failed->first;
+}
+
 } // namespace jacinthvale
--- a/src/foreign_fields.h
+++ b/src/foreign_fields.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <span>
+#include <utility>
 
 namespace jacinthvale {
 
@@ -19,4 +20,10 @@
 /// @returns the name of the first field that is missing or of another type; null if there is none.
 const char *findFault(const nlohmann::json &object, std::span<const foreign_field> fields);
 
+/// Name of a field, and whether its value may be used.
+using field_check = std::pair<const char *, bool>;
+
+/// @returns the name of the first field whose value may not be used; null if there is none.
+const char *findFault(std::span<const field_check> checks);
+
 } // namespace jacinthvale
--- a/src/http_fields.h
+++ b/src/http_fields.h
@@ -53,10 +53,10 @@
 }
 
 /// Headers that describe the framing of one connection; the connection writes its own.
-inline bool isFraming(std::string_view name)
+inline bool isFraming(const std::string &name)
 {
-    return absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()), "Content-Length")
-           || absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()), "Transfer-Encoding");
+    return absl::EqualsIgnoreCase(name, "Content-Length")
+           || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
 }
 
 } // namespace jacinthvale
--- a/src/membership_hosts.cpp
+++ b/src/membership_hosts.cpp
@@ -76,8 +76,7 @@
             = {std::pair("host", !host.host.empty()), std::pair("role", isOneOf(host.role, kRoles)),
                std::pair("http", !host.http.empty()),
                std::pair("state", isOneOf(textOf(item, "state"), kStates))};
-    const auto failed = std::ranges::find(checks, false, &std::pair<const char *, bool>::second);
-    return failed == checks.end() ? nullptr : failed->first;
+    return findFault(checks);
 }
 
 std::optional<json> parseObject(const std::string &body)
--- a/tests/test_unsendable_requests.cpp
+++ b/tests/test_unsendable_requests.cpp
@@ -74,6 +74,17 @@
     return routes;
 }
 
+/// @returns the entry's decision on a batch job with this id.
+decoded_request submit(const std::string &id, const std::string &body)
+{
+    http_request_received request;
+    request.method = "POST";
+    request.path = request.target = "/p/b1";
+    request.headers = {{"Host", "h.example"}, {platform::kRequestIdHeader, id}};
+    request.body = body;
+    return platform::makePlatformPort()->decodeRequest(request, routesWithBatches(), 1 << 20);
+}
+
 } // namespace
 
 // Guards against an item that brings a request of nobody: line ends in its path end the request line.
@@ -103,17 +114,11 @@
             {"/scorer/id", "requests[1].scorer.id", ids},
             {"/scorer/host", "requests[1].scorer.host", {"", "h\r\nX: y", "h h", "h\n"}},
     };
-    const auto port = platform::makePlatformPort();
     for (const place &tried : places) {
         for (const std::string &text : tried.texts) {
             const std::string body = batchWith(json::json_pointer(tried.pointer), text);
             EXPECT_EQ(faultIn(body), tried.field) << body;
-            http_request_received request;
-            request.method = "POST";
-            request.path = request.target = "/p/b1";
-            request.headers = {{"Host", "h.example"}, {platform::kRequestIdHeader, "b1"}};
-            request.body = body;
-            const auto decoded = port->decodeRequest(request, routesWithBatches(), 1 << 20);
+            const decoded_request decoded = submit("b1", body);
             ASSERT_TRUE(std::holds_alternative<reply_http>(decoded)) << body;
             EXPECT_EQ(std::get<reply_http>(decoded).status, 400);
             EXPECT_EQ(json::parse(std::get<reply_http>(decoded).body)["field"], tried.field);
@@ -270,14 +275,8 @@
 // are JSON.
 TEST(unsendable_requests, batchWhoseIdCannotBeAKeyIsRefused)
 {
-    const auto port = platform::makePlatformPort();
-    const auto statusFor = [&](const std::string &id) {
-        http_request_received request;
-        request.method = "POST";
-        request.path = request.target = "/p/b1";
-        request.headers = {{"Host", "h.example"}, {platform::kRequestIdHeader, id}};
-        request.body = json{{"model", "m"}, {"requests", {itemOf("i1")}}}.dump();
-        const auto decoded = port->decodeRequest(request, routesWithBatches(), 1 << 20);
+    const auto statusFor = [](const std::string &id) {
+        const decoded_request decoded = submit(id, json{{"model", "m"}, {"requests", {itemOf("i1")}}}.dump());
         const auto *reply = std::get_if<reply_http>(&decoded);
         return reply == nullptr ? 0 : reply->status;
     };
